--- /dev/null
+++ b/ballots/voter.go
@@ -0,0 +1,308 @@
+// Package ballots keeps registers that a majority of voters agrees on, with no
+// standing leader (design 3). Each key is a register of its own; each of its
+// revisions is made by one round of ballots that any proposer may hold.
+//
+// Voter and Proposer are deterministic cores. What a Voter puts into
+// Effects.Log has to be on disk, synced, before Effects.Send may leave.
+package ballots
+
+import (
+	"maps"
+	"slices"
+
+	"stoneford/schema"
+	"stoneford/step"
+)
+
+// keptChanges is how many change names a value carries, so that a proposer
+// that lost sight of its change can still find it in later revisions.
+const keptChanges = 16
+
+// joinEvery is how long an unformed voter waits between two joins.
+const joinEvery = 200_000
+
+// Effects is what a step asks of its edge.
+type Effects struct {
+	Log    []*schema.VoterLog // to sync first
+	Send   []step.Send        // to send then
+	Chosen []string           // keys whose cell changed here
+}
+
+type cell struct {
+	promised schema.Ballot
+	accepted schema.Ballot
+	value    *schema.Value
+}
+
+// Voter is one voter's half of the ballots.
+type Voter struct {
+	self      string
+	voters    []string
+	nonce     uint32
+	cells     map[string]*cell
+	standings map[string]uint64
+	roster    map[string]uint64
+	formed    bool
+	joined    map[string]*schema.JoinReturn
+	nextJoin  int64
+}
+
+// NewVoter makes a voter with an empty disk; nonce tells this disk's life from
+// any other and must be random.
+func NewVoter(self string, voters []string, nonce uint32) *Voter {
+	return &Voter{self: self, voters: slices.Clone(voters), nonce: nonce, cells: map[string]*cell{},
+		standings: map[string]uint64{}, roster: map[string]uint64{}, joined: map[string]*schema.JoinReturn{}}
+}
+
+// Formed says whether this voter votes.
+func (v *Voter) Formed() bool { return v.formed }
+
+// Restore plays one entry of the log back; entries come in the order written.
+func (v *Voter) Restore(l *schema.VoterLog) {
+	if l.Snapshot {
+		v.cells, v.standings, v.roster = map[string]*cell{}, map[string]uint64{}, map[string]uint64{}
+		v.formed = false
+	}
+	for _, c := range l.Cells {
+		v.cells[c.Key] = &cell{promised: ballot(c.Promised), accepted: ballot(c.Accepted), value: c.Value}
+	}
+	raise(v.standings, l.Standings)
+	raise(v.roster, l.Roster)
+	v.formed = v.formed || l.Formed
+}
+
+// Snapshot is the whole state as one log entry.
+func (v *Voter) Snapshot() *schema.VoterLog {
+	return &schema.VoterLog{Snapshot: true, Cells: v.allCells(), Standings: standings(v.standings),
+		Roster: standings(v.roster), Formed: v.formed}
+}
+
+// Values is what this voter has accepted, by key: not known to be chosen.
+func (v *Voter) Values() map[string]*schema.Value {
+	m := make(map[string]*schema.Value, len(v.cells))
+	for k, c := range v.cells {
+		if c.value != nil {
+			m[k] = c.value
+		}
+	}
+	return m
+}
+
+// Tick lets an unformed voter go on with joining.
+func (v *Voter) Tick(now int64) Effects {
+	var fx Effects
+	if v.formed || now < v.nextJoin {
+		return fx
+	}
+	v.nextJoin = now + joinEvery
+	if v.standings[v.self] == 0 {
+		v.setGeneration(&fx, 1)
+	}
+	for _, o := range v.others() {
+		v.send(&fx, o, &schema.Envelope{Body: &schema.Envelope_Join{Join: &schema.Join{Generation: v.standings[v.self]}}})
+	}
+	return fx
+}
+
+// setGeneration takes the count with this disk's nonce behind it.
+func (v *Voter) setGeneration(fx *Effects, n uint64) {
+	v.standings[v.self] = n<<32 | uint64(v.nonce)
+	v.joined = map[string]*schema.JoinReturn{}
+	fx.Log = append(fx.Log, &schema.VoterLog{Standings: standings(map[string]uint64{v.self: v.standings[v.self]})})
+}
+
+// Step takes one envelope of a neighbour, or of this process's own proposer.
+func (v *Voter) Step(now int64, e *schema.Envelope) Effects {
+	var fx Effects
+	switch b := e.Body.(type) {
+	case *schema.Envelope_Prepare:
+		v.prepare(&fx, e.From, b.Prepare)
+	case *schema.Envelope_Accept:
+		v.accept(&fx, e.From, b.Accept)
+	case *schema.Envelope_Join:
+		v.join(&fx, e.From, b.Join)
+	case *schema.Envelope_JoinReturn:
+		v.joinReturn(&fx, e.From, b.JoinReturn)
+	}
+	return fx
+}
+
+func (v *Voter) prepare(fx *Effects, from string, m *schema.Prepare) {
+	if !v.formed {
+		return
+	}
+	c := v.at(m.Key)
+	r := &schema.Promise{Key: m.Key, Attempt: m.Attempt}
+	if less(&c.promised, m.Ballot) {
+		c.promised = ballot(m.Ballot)
+		r.Given = true
+		fx.Log = append(fx.Log, v.logCell(m.Key))
+	}
+	r.Promised, r.Accepted, r.Value = copyBallot(&c.promised), copyBallot(&c.accepted), c.value
+	r.Standings = standings(v.standings)
+	v.send(fx, from, &schema.Envelope{Body: &schema.Envelope_Promise{Promise: r}})
+}
+
+func (v *Voter) accept(fx *Effects, from string, m *schema.Accept) {
+	if !v.formed {
+		return
+	}
+	c := v.at(m.Key)
+	r := &schema.Accepted{Key: m.Key, Attempt: m.Attempt}
+	// A promise given by a disk since lost no longer binds anyone, so what
+	// rests on it is not accepted (design 3.3).
+	stale := slices.ContainsFunc(m.PromisedBy, func(s *schema.Standing) bool { return s.Generation < v.standings[s.Voter] })
+	if !stale && !less(m.Ballot, &c.promised) {
+		c.promised, c.accepted, c.value = ballot(m.Ballot), ballot(m.Ballot), m.Value
+		r.Given = true
+		fx.Log = append(fx.Log, v.logCell(m.Key))
+		fx.Chosen = append(fx.Chosen, m.Key)
+	}
+	r.Promised = copyBallot(&c.promised)
+	r.Standings = standings(v.standings)
+	v.send(fx, from, &schema.Envelope{Body: &schema.Envelope_Accepted{Accepted: r}})
+}
+
+func (v *Voter) join(fx *Effects, from string, m *schema.Join) {
+	if !slices.Contains(v.voters, from) || from == v.self || v.standings[v.self] == 0 {
+		return // not yet a life of its own to speak of
+	}
+	r := &schema.JoinReturn{Generation: m.Generation, Formed: v.formed}
+	known := v.standings[from]
+	if m.Generation == known || m.Generation>>32 > known>>32 {
+		if m.Generation != known {
+			v.standings[from] = m.Generation
+			fx.Log = append(fx.Log, &schema.VoterLog{Standings: standings(map[string]uint64{from: m.Generation})})
+		}
+		r.Given, r.Cells = true, v.allCells()
+	}
+	r.Standings, r.Roster = standings(v.standings), standings(v.roster)
+	v.send(fx, from, &schema.Envelope{Body: &schema.Envelope_JoinReturn{JoinReturn: r}})
+}
+
+func (v *Voter) joinReturn(fx *Effects, from string, m *schema.JoinReturn) {
+	if v.formed || m.Generation != v.standings[v.self] || !slices.Contains(v.others(), from) {
+		return
+	}
+	if !m.Given {
+		for _, s := range m.Standings {
+			if s.Voter == v.self && s.Generation>>32 >= v.standings[v.self]>>32 {
+				v.setGeneration(fx, s.Generation>>32+1)
+				v.nextJoin = 0
+			}
+		}
+		return
+	}
+	v.joined[from] = m
+	if len(v.joined) < len(v.others()) || !v.mayForm() {
+		return
+	}
+	// Every other voter has this disk's generation on record, and what they
+	// hold is copied: from here on this voter can be counted again.
+	for _, r := range v.joined {
+		raise(v.standings, r.Standings)
+		raise(v.roster, r.Roster)
+		for _, c := range r.Cells {
+			h := v.at(c.Key)
+			if less(&h.promised, c.Promised) {
+				h.promised = ballot(c.Promised)
+			}
+			if less(&h.accepted, c.Accepted) {
+				h.accepted, h.value = ballot(c.Accepted), c.Value
+				fx.Chosen = append(fx.Chosen, c.Key)
+			}
+		}
+	}
+	if len(v.roster) == 0 {
+		v.roster = maps.Clone(v.standings)
+	}
+	v.formed, v.joined = true, map[string]*schema.JoinReturn{}
+	fx.Log = append(fx.Log, v.Snapshot())
+}
+
+// mayForm: all others vote, or none ever did, or those that don't are on the
+// very disks they were formed with and so never voted.
+func (v *Voter) mayForm() bool {
+	var rs map[string]uint64
+	for _, r := range v.joined {
+		if r.Formed {
+			rs = map[string]uint64{}
+			raise(rs, r.Roster)
+		}
+	}
+	if rs == nil {
+		return true
+	}
+	for o, r := range v.joined {
+		m := map[string]uint64{}
+		raise(m, r.Standings)
+		if !r.Formed && m[o] != rs[o] {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *Voter) at(k string) *cell {
+	c := v.cells[k]
+	if c == nil {
+		c = &cell{}
+		v.cells[k] = c
+	}
+	return c
+}
+
+func (v *Voter) others() []string {
+	return slices.DeleteFunc(slices.Clone(v.voters), func(o string) bool { return o == v.self })
+}
+
+func (v *Voter) send(fx *Effects, to string, e *schema.Envelope) {
+	e.From = v.self
+	fx.Send = append(fx.Send, step.Send{To: to, Env: e})
+}
+
+func (v *Voter) logCell(k string) *schema.VoterLog {
+	return &schema.VoterLog{Cells: []*schema.Cell{v.wire(k)}}
+}
+
+func (v *Voter) wire(k string) *schema.Cell {
+	c := v.cells[k]
+	return &schema.Cell{Key: k, Promised: copyBallot(&c.promised), Accepted: copyBallot(&c.accepted), Value: c.value}
+}
+
+func (v *Voter) allCells() []*schema.Cell {
+	var cs []*schema.Cell
+	for _, k := range slices.Sorted(maps.Keys(v.cells)) {
+		cs = append(cs, v.wire(k))
+	}
+	return cs
+}
+
+func less(a, b *schema.Ballot) bool {
+	if a.GetRound() != b.GetRound() {
+		return a.GetRound() < b.GetRound()
+	}
+	return a.GetProposer() < b.GetProposer()
+}
+
+func ballot(b *schema.Ballot) schema.Ballot {
+	return schema.Ballot{Round: b.GetRound(), Proposer: b.GetProposer()}
+}
+
+func copyBallot(b *schema.Ballot) *schema.Ballot {
+	return &schema.Ballot{Round: b.Round, Proposer: b.Proposer}
+}
+
+func standings(m map[string]uint64) []*schema.Standing {
+	var ss []*schema.Standing
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		ss = append(ss, &schema.Standing{Voter: k, Generation: m[k]})
+	}
+	return ss
+}
+
+func raise(m map[string]uint64, ss []*schema.Standing) {
+	for _, s := range ss {
+		m[s.Voter] = max(m[s.Voter], s.Generation)
+	}
+}
--- /dev/null
+++ b/standin/databasecopy/copy.go
@@ -0,0 +1,412 @@
+// Package databasecopy is the stand-in for one database of a group: it
+// implements docs/database-interface.md over real rows, so that a checker can
+// see double writes, lost commits and the age of each read.
+//
+// Copy is the deterministic part; Server puts HTTP, a log on disk and timers
+// around it.
+package databasecopy
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Write is one change of a row.
+type Write struct {
+	Relation string `json:"relation"`
+	Key      string `json:"key"`
+	Add      int64  `json:"add,omitempty"`
+	Put      *int64 `json:"put,omitempty"`
+}
+
+// LogEntry is one commit; position is its index in the log, from 1.
+type LogEntry struct {
+	Epoch  uint64  `json:"epoch"`
+	Writes []Write `json:"writes,omitempty"`
+	AtUs   int64   `json:"at_us"` // the stand-in's own clock, for the checker
+}
+
+// Kept is what a copy keeps on disk beside its log.
+type Kept struct {
+	Identity  string `json:"identity"`
+	Epoch     uint64 `json:"epoch"`
+	Primary   bool   `json:"primary"`
+	Following string `json:"following"`
+}
+
+// Status is both READY and STATUS.
+type Status struct {
+	Database  string `json:"database"`
+	Identity  string `json:"identity"`
+	Role      string `json:"role"` // primary, replica or sealed
+	Epoch     uint64 `json:"epoch"`
+	LogEpoch  uint64 `json:"log_epoch"`
+	Received  int64  `json:"received"`
+	Applied   int64  `json:"applied"`
+	Following string `json:"following,omitempty"`
+	Leaving   bool   `json:"leaving"`
+	Health    string `json:"health"`
+}
+
+// Op is one step of a run.
+type Op struct {
+	Op       string            `json:"op"` // reset, set, prepare, begin, statement, commit, rollback
+	Text     string            `json:"text,omitempty"`
+	Prepared string            `json:"prepared,omitempty"`
+	Params   []string          `json:"params,omitempty"`
+	Values   map[string]string `json:"values,omitempty"`
+}
+
+// Result is one step's return.
+type Result struct {
+	Rows      [][]string `json:"rows,omitempty"`
+	Position  int64      `json:"position,omitempty"` // of a commit
+	Tuples    int64      `json:"tuples,omitempty"`
+	Relations []string   `json:"relations,omitempty"`
+	Error     string     `json:"error,omitempty"`
+}
+
+type conn struct {
+	values   map[string]string
+	prepared map[string]string
+	open     bool
+	pending  []Write
+}
+
+// Copy is one database's whole state.
+type Copy struct {
+	Kept
+	Name    string
+	Limit   int
+	Leaving bool
+	log     []LogEntry
+	applied int64
+	rows    map[string]map[string]int64
+	conns   map[int64]*conn
+	nextID  int64
+}
+
+// New makes a copy; an initial primary is told so by Promote.
+func New(name, identity string, limit int) *Copy {
+	return &Copy{Name: name, Limit: limit, Kept: Kept{Identity: identity}, rows: map[string]map[string]int64{}, conns: map[int64]*conn{}}
+}
+
+// Restore takes what was kept on disk; all of it is applied.
+func (c *Copy) Restore(k Kept, log []LogEntry) {
+	c.Kept, c.log = k, slices.Clone(log)
+	c.rows, c.applied = map[string]map[string]int64{}, 0
+	c.Apply(int64(len(c.log)))
+}
+
+func (c *Copy) role() string {
+	switch {
+	case c.Primary:
+		return "primary"
+	case c.Following != "":
+		return "replica"
+	}
+	return "sealed"
+}
+
+// Received is the position of the newest commit held.
+func (c *Copy) Received() int64 { return int64(len(c.log)) }
+
+// Applied is the position up to which rows show the log.
+func (c *Copy) Applied() int64 { return c.applied }
+
+// LogEpoch is the epoch of the newest commit held.
+func (c *Copy) LogEpoch() uint64 { return c.epochAt(c.Received()) }
+
+func (c *Copy) epochAt(p int64) uint64 {
+	if p < 1 || p > int64(len(c.log)) {
+		return 0
+	}
+	return c.log[p-1].Epoch
+}
+
+// Log is the commits behind a position.
+func (c *Copy) Log(after int64) []LogEntry { return slices.Clone(c.log[min(after, c.Received()):]) }
+
+// Status tells all of itself.
+func (c *Copy) Status() Status {
+	return Status{Database: c.Name, Identity: c.Identity, Role: c.role(), Epoch: c.Epoch, LogEpoch: c.LogEpoch(),
+		Received: c.Received(), Applied: c.applied, Following: c.Following, Leaving: c.Leaving, Health: "ok"}
+}
+
+// Seal makes the copy take no log and no statement of a lower epoch.
+func (c *Copy) Seal(e uint64) bool {
+	if e < c.Epoch || e == c.Epoch && (c.Primary || c.Following != "") {
+		return false
+	}
+	if e > c.Epoch {
+		c.Epoch, c.Primary, c.Following = e, false, ""
+		c.dropConns()
+	}
+	return true
+}
+
+// Promote makes the copy the primary of an epoch; the first commit of an epoch
+// is an empty one that marks it.
+func (c *Copy) Promote(e uint64, atUs int64) bool {
+	if e == c.Epoch && c.Primary {
+		return true
+	}
+	if e < c.Epoch || e == c.Epoch && c.Following != "" {
+		return false
+	}
+	c.Epoch, c.Primary, c.Following = e, true, ""
+	c.dropConns()
+	c.Apply(c.Received())
+	c.log = append(c.log, LogEntry{Epoch: e, AtUs: atUs})
+	c.Apply(c.Received())
+	return true
+}
+
+// Follow makes the copy take the log of an epoch's primary.
+func (c *Copy) Follow(e uint64, primary string) bool {
+	if e < c.Epoch || e == c.Epoch && (c.Primary || c.Following != "" && c.Following != primary) {
+		return false
+	}
+	if e > c.Epoch {
+		c.dropConns()
+	}
+	c.Epoch, c.Primary, c.Following = e, false, primary
+	return true
+}
+
+func (c *Copy) dropConns() { c.conns = map[int64]*conn{} }
+
+// Give hands a follower the log behind (after, afterEpoch). back is where it
+// should ask from instead when the two logs part before that; -1 otherwise.
+func (c *Copy) Give(epoch uint64, after int64, afterEpoch uint64, most int) (es []LogEntry, back int64, ok bool) {
+	if !c.Primary || epoch != c.Epoch {
+		return nil, -1, false
+	}
+	if after > c.Received() || c.epochAt(after) != afterEpoch {
+		b := min(after, c.Received()+1) - 1
+		for b > 0 && c.epochAt(b) > afterEpoch {
+			b--
+		}
+		return nil, max(b, 0), true
+	}
+	es = c.log[after:]
+	return slices.Clone(es[:min(len(es), most)]), -1, true
+}
+
+// EpochAt is the epoch of one commit held.
+func (c *Copy) EpochAt(p int64) uint64 { return c.epochAt(p) }
+
+// Take takes log of an epoch behind a position, dropping a tail that the
+// primary does not have. cut says that a tail was dropped.
+func (c *Copy) Take(epoch uint64, after int64, es []LogEntry) (cut, ok bool) {
+	if c.Primary || c.Following == "" || epoch != c.Epoch || after > c.Received() {
+		return false, false
+	}
+	for i, e := range es {
+		p := after + int64(i) + 1
+		if p <= c.Received() && c.epochAt(p) == e.Epoch {
+			continue
+		}
+		if p <= c.Received() {
+			c.log = slices.Clone(c.log[:p-1])
+			cut = true
+			if c.applied >= p {
+				c.rows, c.applied = map[string]map[string]int64{}, 0
+				c.Apply(p - 1)
+			}
+		}
+		c.log = append(c.log, e)
+	}
+	return cut, true
+}
+
+// Apply shows the log up to a position in the rows.
+func (c *Copy) Apply(until int64) {
+	for c.applied < min(until, c.Received()) {
+		for _, w := range c.log[c.applied].Writes {
+			apply(c.rows, w)
+		}
+		c.applied++
+	}
+}
+
+func apply(rows map[string]map[string]int64, w Write) {
+	r := rows[w.Relation]
+	if r == nil {
+		r = map[string]int64{}
+		rows[w.Relation] = r
+	}
+	if w.Put != nil {
+		r[w.Key] = *w.Put
+	}
+	r[w.Key] += w.Add
+}
+
+// Open makes a connection, within the limit.
+func (c *Copy) Open() (int64, bool) {
+	if len(c.conns) >= c.Limit {
+		return 0, false
+	}
+	c.nextID++
+	c.conns[c.nextID] = &conn{values: map[string]string{}, prepared: map[string]string{}}
+	return c.nextID, true
+}
+
+// Close ends a connection; an open transaction is rolled back.
+func (c *Copy) Close(id int64) { delete(c.conns, id) }
+
+// Connections is how many are open.
+func (c *Copy) Connections() int { return len(c.conns) }
+
+// Refusals of a whole run: nothing of it took effect.
+const (
+	RefusedConnection = "connection"
+	RefusedEpoch      = "epoch"
+	RefusedRole       = "role"
+)
+
+// Run runs ops in order and stops behind the first that fails.
+func (c *Copy) Run(id int64, epoch uint64, ops []Op, atUs int64) (rs []Result, refused string) {
+	n := c.conns[id]
+	if n == nil {
+		return nil, RefusedConnection
+	}
+	if epoch != c.Epoch {
+		return nil, RefusedEpoch
+	}
+	if c.role() == "sealed" {
+		return nil, RefusedRole
+	}
+	for _, o := range ops {
+		r := c.op(n, o, atUs)
+		rs = append(rs, r)
+		if r.Error != "" {
+			break
+		}
+	}
+	return rs, ""
+}
+
+func (c *Copy) op(n *conn, o Op, atUs int64) Result {
+	switch o.Op {
+	case "reset":
+		*n = conn{values: map[string]string{}, prepared: map[string]string{}}
+	case "set":
+		maps.Copy(n.values, o.Values)
+	case "prepare":
+		n.prepared[o.Prepared] = o.Text
+	case "begin":
+		if n.open {
+			return Result{Error: "a transaction is open"}
+		}
+		n.open = true
+	case "rollback":
+		if !n.open {
+			return Result{Error: "no transaction is open"}
+		}
+		n.open, n.pending = false, nil
+	case "commit":
+		if !n.open {
+			return Result{Error: "no transaction is open"}
+		}
+		ws := n.pending
+		n.open, n.pending = false, nil
+		return c.commit(ws, atUs)
+	case "statement":
+		t := o.Text
+		if o.Prepared != "" {
+			var ok bool
+			if t, ok = n.prepared[o.Prepared]; !ok {
+				return Result{Error: "no such prepared name: " + o.Prepared}
+			}
+		}
+		r, ws := c.statement(n, t, o.Params)
+		if r.Error != "" || len(ws) == 0 {
+			return r
+		}
+		if !c.Primary {
+			return Result{Error: "not the primary"}
+		}
+		if n.open {
+			n.pending = append(n.pending, ws...)
+			return r
+		}
+		k := c.commit(ws, atUs)
+		k.Rows = r.Rows
+		return k
+	default:
+		return Result{Error: "unknown op " + strconv.Quote(o.Op)}
+	}
+	return Result{}
+}
+
+func (c *Copy) commit(ws []Write, atUs int64) Result {
+	if len(ws) == 0 {
+		return Result{}
+	}
+	if !c.Primary {
+		return Result{Error: "not the primary"}
+	}
+	c.log = append(c.log, LogEntry{Epoch: c.Epoch, Writes: ws, AtUs: atUs})
+	c.Apply(c.Received())
+	rs := map[string]bool{}
+	for _, w := range ws {
+		rs[w.Relation] = true
+	}
+	return Result{Position: c.Received(), Tuples: int64(len(ws)), Relations: slices.Sorted(maps.Keys(rs))}
+}
+
+// statement knows a few words: read RELATION KEY [RELATION KEY ...],
+// add RELATION KEY N,
+// put RELATION KEY N, value NAME. A ? stands for the next parameter.
+func (c *Copy) statement(n *conn, text string, ps []string) (Result, []Write) {
+	fs := strings.Fields(text)
+	for i, f := range fs {
+		if f == "?" {
+			if len(ps) == 0 {
+				return Result{Error: "too few parameters"}, nil
+			}
+			fs[i], ps = ps[0], ps[1:]
+		}
+	}
+	switch {
+	case len(ps) > 0:
+		return Result{Error: "too many parameters"}, nil
+	case len(fs) == 2 && fs[0] == "value":
+		return Result{Rows: [][]string{{n.values[fs[1]]}}}, nil
+	case len(fs) >= 3 && len(fs)%2 == 1 && fs[0] == "read":
+		var r Result
+		for i := 1; i < len(fs); i += 2 {
+			r.Rows = append(r.Rows, []string{strconv.FormatInt(c.row(n, fs[i], fs[i+1]), 10)})
+		}
+		return r, nil
+	case len(fs) == 4 && (fs[0] == "add" || fs[0] == "put"):
+		v, err := strconv.ParseInt(fs[3], 10, 64)
+		if err != nil {
+			return Result{Error: "not a number: " + fs[3]}, nil
+		}
+		w := Write{Relation: fs[1], Key: fs[2], Add: v}
+		now := c.row(n, fs[1], fs[2]) + v
+		if fs[0] == "put" {
+			w.Add, w.Put, now = 0, &v, v
+		}
+		return Result{Rows: [][]string{{strconv.FormatInt(now, 10)}}}, []Write{w}
+	}
+	return Result{Error: fmt.Sprintf("cannot run %q", text)}, nil
+}
+
+func (c *Copy) row(n *conn, rel, key string) int64 {
+	v := c.rows[rel][key]
+	for _, w := range n.pending {
+		if w.Relation == rel && w.Key == key {
+			if w.Put != nil {
+				v = *w.Put
+			}
+			v += w.Add
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/step/step.go
@@ -0,0 +1,33 @@
+// Package step holds what the deterministic cores have in common (design 2):
+// a core is given the time and an event and hands back effects; it starts no
+// goroutine and reads no clock, socket or random source of its own.
+package step
+
+import (
+	"hash/fnv"
+
+	"stoneford/schema"
+)
+
+// Send is an envelope bound for one neighbour.
+type Send struct {
+	To  string
+	Env *schema.Envelope
+}
+
+// Hash is the one hash by which nodes are ranked and keys digested; it is the
+// same in every process and every build.
+func Hash(ps ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range ps {
+		h.Write([]byte(p))
+		h.Write([]byte{0})
+	}
+	// FNV's low bits mix poorly for short texts; finish as splitmix64 does.
+	x := h.Sum64()
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
