--- a/ballots/proposer.go
+++ b/ballots/proposer.go
@@ -55,6 +55,7 @@
 	ch       Change
 	number   uint64
 	ballot   *schema.Ballot
+	look     bool // asks without a ballot: binds no voter and writes nothing
 	second   bool // in the accept phase
 	asked    bool // an accept with this change ever left
 	promises map[string]*schema.Promise
@@ -144,16 +145,18 @@
 	}
 	c := p.line[k][0]
 	p.line[k] = p.line[k][1:]
-	a := &attempt{ch: c}
+	a := &attempt{ch: c, look: c.Read}
 	p.busy[k] = a
 	p.begin(fx, now, a)
 }
 
 func (p *Proposer) begin(fx *ProposerEffects, now int64, a *attempt) {
-	p.round++
 	p.number++
-	a.number, a.again, a.until = p.number, 0, now+roundTime
-	a.ballot = &schema.Ballot{Round: p.round, Proposer: p.name}
+	a.number, a.again, a.until, a.ballot = p.number, 0, now+roundTime, nil
+	if !a.look {
+		p.round++
+		a.ballot = &schema.Ballot{Round: p.round, Proposer: p.name}
+	}
 	a.second, a.promises, a.accepted = false, map[string]*schema.Promise{}, map[string]*schema.Accepted{}
 	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Prepare{Prepare: &schema.Prepare{
 		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot}}})
@@ -189,6 +192,14 @@
 		p.finish(fx, now, a)
 		return
 	}
+	if a.look {
+		// The voters differ; only a ballot settles what is chosen.
+		if len(a.promises) == len(p.voters) {
+			a.look = false
+			p.begin(fx, now, a)
+		}
+		return
+	}
 	a.second = true
 	if a.mine {
 		a.asked = true
@@ -258,6 +269,7 @@
 // retry sets the next round apart from those of other proposers.
 func (p *Proposer) retry(now int64, a *attempt) {
 	a.tries++
+	a.look = false
 	spread := int64(10_000) << min(a.tries, 5)
 	a.again = now + 2_000 + int64(step.Hash(p.name, a.ch.Key, string(rune(a.number)))%uint64(spread))
 }
--- a/ballots/voter.go
+++ b/ballots/voter.go
@@ -133,7 +133,9 @@
 	}
 	c := v.at(m.Key)
 	r := &schema.Promise{Key: m.Key, Attempt: m.Attempt}
-	if less(&c.promised, m.Ballot) {
+	if m.Ballot == nil {
+		r.Given = true // a look
+	} else if less(&c.promised, m.Ballot) {
 		c.promised = ballot(m.Ballot)
 		r.Given = true
 		fx.Log = append(fx.Log, v.logCell(m.Key))
--- /dev/null
+++ b/result/result.go
@@ -0,0 +1,147 @@
+// Package result is the one table of numbered result codes; docs/result-codes.md
+// is generated from it.
+package result
+
+// Code is a numbered result.
+type Code int
+
+// Outcome says what became of a query's writes.
+type Outcome string
+
+const (
+	Done        Outcome = "done"
+	NothingKept Outcome = "nothing kept"
+	Uncertain   Outcome = "uncertain"
+)
+
+const (
+	OK Code = 0
+
+	BadJSON            Code = 101
+	TooLarge           Code = 102
+	UnknownSession     Code = 103
+	UnknownRoute       Code = 104
+	UnknownClass       Code = 105
+	ClassNotOnRoute    Code = 106
+	OutsideTransaction Code = 107
+	SessionInUse       Code = 108
+	UnknownPrepared    Code = 109
+	BadToken           Code = 110
+	StatementFailed    Code = 111
+	InTransaction      Code = 112
+	BadQuery           Code = 113
+	SessionExists      Code = 114
+
+	LineFull      Code = 201
+	ExpiryTooNear Code = 202
+	Stopping      Code = 203
+	NoPrimary     Code = 204
+	NotFresh      Code = 205
+	NoConnections Code = 206
+	NotConfigured Code = 207
+	DatabaseAway  Code = 208
+	Leaving       Code = 209
+
+	ReturnLost      Code = 301
+	NoMajority      Code = 302
+	TransactionLost Code = 303
+
+	BadOperatorToken   Code = 401
+	NotOwner           Code = 402
+	InvalidSettings    Code = 403
+	LosingRevision     Code = 404
+	ChangeUncertain    Code = 405
+	NoVoterMajority    Code = 406
+	UnknownPath        Code = 407
+	OperatorBadJSON    Code = 408
+	NoSuchThing        Code = 409
+	TakeoverOpened     Code = 501
+	TakeoverChosen     Code = 502
+	TakeoverSeen       Code = 503
+	TakeoverWaits      Code = 504
+	MemberAdmitted     Code = 505
+	DutyTaken          Code = 506
+	NeighbourSuspected Code = 507
+	RevisionApplied    Code = 508
+	VoterFormed        Code = 509
+	BootChanged        Code = 510
+	BootInvalid        Code = 511
+	EpochSeen          Code = 512
+)
+
+// Row is one code's line in the table.
+type Row struct {
+	Code Code
+	HTTP int // status of the HTTP return that carries it, 0 for codes of logs
+	Text string
+	Then string // what the reader should do
+}
+
+// Table has every code, in order.
+var Table = []Row{
+	{OK, 200, "done", "nothing"},
+	{BadJSON, 400, "the body is not the JSON this path takes", "correct the body"},
+	{TooLarge, 413, "the body is larger than 1 MiB", "send less"},
+	{UnknownSession, 404, "no such session on this node", "open a session, with the resume token if there is one"},
+	{UnknownRoute, 404, "no such route in the configuration in force", "name a configured route"},
+	{UnknownClass, 400, "no such class in the configuration in force", "name a configured class"},
+	{ClassNotOnRoute, 400, "the class is not among the route's", "name one of the route's classes"},
+	{OutsideTransaction, 409, "commit or rollback without an open transaction, or begin inside one", "begin first, or end the one that is open"},
+	{SessionInUse, 409, "another query of this session is not ended yet", "wait for its return"},
+	{UnknownPrepared, 400, "the session has no such prepared name", "prepare it first"},
+	{BadToken, 400, "the resume token is not one of this route's group", "open the session without it, or on its own route"},
+	{StatementFailed, 422, "the database refused the statement", "read the statement's error"},
+	{InTransaction, 409, "session values and prepared names cannot change while a transaction is open", "end the transaction first"},
+	{BadQuery, 400, "the query has no statement, or a read-only class with begin", "correct the query"},
+	{SessionExists, 409, "the session id is taken", "name another, or none"},
+	{LineFull, 503, "the line of this route is full on this node", "come back after retry_after_us"},
+	{ExpiryTooNear, 503, "the query cannot make its expiry", "come back after retry_after_us, or give it longer"},
+	{Stopping, 503, "this node is stopping", "open the session on another node with the token, at once"},
+	{NoPrimary, 503, "the group has no primary that answers; a takeover may be on its way", "come back after retry_after_us"},
+	{NotFresh, 503, "no copy is known to be fresh enough", "come back after retry_after_us"},
+	{NoConnections, 503, "this node holds no permit for a connection to the database", "come back after retry_after_us"},
+	{NotConfigured, 503, "the node has no configuration yet", "come back after retry_after_us"},
+	{DatabaseAway, 503, "the database could not be reached; the statement never left", "come back after retry_after_us"},
+	{Leaving, 503, "the database is leaving; the statement never left", "come back after retry_after_us"},
+	{ReturnLost, 504, "the statement left and its return was lost", "look whether it took effect before doing it again"},
+	{NoMajority, 504, "the commit is on the primary and no majority confirmed it in its epoch", "look whether it took effect before doing it again"},
+	{TransactionLost, 409, "the open transaction was lost before its commit left", "begin it again"},
+	{BadOperatorToken, 401, "the token is missing or no partner's", "send the partner's token"},
+	{NotOwner, 403, "this belongs to the other partner", "ask its owner"},
+	{InvalidSettings, 422, "the configuration has errors; each is listed by field", "correct the fields"},
+	{LosingRevision, 409, "another revision came first; the current one is returned", "read it and base the change on it"},
+	{ChangeUncertain, 504, "no majority confirmed the change in time; it may still come into force", "read the configuration before sending again"},
+	{NoVoterMajority, 503, "no majority of voters was reached; nothing was changed", "come back after retry_after_us"},
+	{UnknownPath, 404, "no such path", "see docs/operating.md"},
+	{OperatorBadJSON, 400, "the body is not the JSON this path takes", "correct the body"},
+	{NoSuchThing, 404, "nothing by that name", "see the names in the return"},
+	{TakeoverOpened, 0, "a takeover was agreed and its epoch opened", "watch for 503"},
+	{TakeoverChosen, 0, "the furthest sealed copy was agreed as the primary", "watch for 503"},
+	{TakeoverSeen, 0, "the new primary was seen in its epoch", "nothing"},
+	{TakeoverWaits, 0, "the takeover waits: fewer than a majority of copies could be sealed", "bring a copy of the group back"},
+	{MemberAdmitted, 0, "a copy with a new disk has caught up and counts as a member", "nothing"},
+	{DutyTaken, 0, "a duty changed hands", "nothing"},
+	{NeighbourSuspected, 0, "a neighbour is silent", "look at the machine if it stays so"},
+	{RevisionApplied, 0, "a revision is in force on this process", "nothing"},
+	{VoterFormed, 0, "this voter votes from now on", "nothing"},
+	{BootChanged, 0, "the boot file changed and what takes effect at once did", "nothing"},
+	{BootInvalid, 0, "the boot file changed and has errors; the old settings stay", "correct the file"},
+	{EpochSeen, 0, "the node follows a new epoch of a group", "nothing"},
+}
+
+var rows = func() map[Code]Row {
+	m := map[Code]Row{}
+	for _, r := range Table {
+		m[r.Code] = r
+	}
+	return m
+}()
+
+// Row is the code's line.
+func (c Code) Row() Row { return rows[c] }
+
+func (c Code) String() string { return rows[c].Text }
+
+// Bounce says whether the code means that nothing was kept and the caller may
+// come back.
+func (c Code) Bounce() bool { return c >= 200 && c < 300 }
--- a/standin/databasecopy/copy.go
+++ b/standin/databasecopy/copy.go
@@ -269,7 +269,7 @@
 )
 
 // Run runs ops in order and stops behind the first that fails.
-func (c *Copy) Run(id int64, epoch uint64, ops []Op, atUs int64) (rs []Result, refused string) {
+func (c *Copy) Run(id int64, epoch uint64, ops []Op, readOnly bool, atUs int64) (rs []Result, refused string) {
 	n := c.conns[id]
 	if n == nil {
 		return nil, RefusedConnection
@@ -281,7 +281,7 @@
 		return nil, RefusedRole
 	}
 	for _, o := range ops {
-		r := c.op(n, o, atUs)
+		r := c.op(n, o, readOnly, atUs)
 		rs = append(rs, r)
 		if r.Error != "" {
 			break
@@ -290,7 +290,7 @@
 	return rs, ""
 }
 
-func (c *Copy) op(n *conn, o Op, atUs int64) Result {
+func (c *Copy) op(n *conn, o Op, readOnly bool, atUs int64) Result {
 	switch o.Op {
 	case "reset":
 		*n = conn{values: map[string]string{}, prepared: map[string]string{}}
@@ -327,8 +327,8 @@
 		if r.Error != "" || len(ws) == 0 {
 			return r
 		}
-		if !c.Primary {
-			return Result{Error: "not the primary"}
+		if readOnly || !c.Primary {
+			return Result{Error: "a write in a read-only run"}
 		}
 		if n.open {
 			n.pending = append(n.pending, ws...)
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -26,8 +26,9 @@
 
 // RunCall is the body of a run.
 type RunCall struct {
-	Epoch uint64 `json:"epoch"`
-	Ops   []Op   `json:"ops"`
+	Epoch    uint64 `json:"epoch"`
+	ReadOnly bool   `json:"read_only,omitempty"`
+	Ops      []Op   `json:"ops"`
 }
 
 // RunReturn is its return.
@@ -259,7 +260,7 @@
 	}
 	s.mu.Lock()
 	had := s.c.Received()
-	rs, ref := s.c.Run(pathID(r), rc.Epoch, rc.Ops, nowUs())
+	rs, ref := s.c.Run(pathID(r), rc.Epoch, rc.Ops, rc.ReadOnly, nowUs())
 	var err error
 	if s.c.Received() != had {
 		err = s.keep(had, false)
