--- /dev/null
+++ b/bootfile/bootfile.go
@@ -0,0 +1,105 @@
+// Package bootfile reads a process's boot settings from a file and flags, and
+// notices a changed file without a signal (design 10.2).
+package bootfile
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+
+	"stoneford/schema"
+	"stoneford/settings"
+)
+
+// Flags are the command-line flags every daemon has: one for each single
+// setting, over whatever the file says.
+func Flags() []cli.Flag {
+	fs := []cli.Flag{&cli.StringFlag{Name: "boot", Usage: "boot `FILE` in JSON"}}
+	ds := (&schema.Boot{}).ProtoReflect().Descriptor().Fields()
+	for i := range ds.Len() {
+		f := ds.Get(i)
+		u := settings.Meta(f).GetDoc()
+		switch {
+		case f.IsMap():
+		case f.IsList():
+			fs = append(fs, &cli.StringFlag{Name: flagName(string(f.Name())), Usage: u + ", separated by commas"})
+		default:
+			fs = append(fs, &cli.StringFlag{Name: flagName(string(f.Name())), Usage: u})
+		}
+	}
+	return fs
+}
+
+func flagName(n string) string { return strings.ReplaceAll(n, "_", "-") }
+
+// Read reads the file, puts the flags over it and checks the whole.
+func Read(c *cli.Command) (*schema.Boot, error) {
+	m := map[string]any{}
+	if p := c.String("boot"); p != "" {
+		b, err := os.ReadFile(p)
+		if err != nil {
+			return nil, err
+		}
+		if err := json.Unmarshal(b, &m); err != nil {
+			return nil, errs.New("%s: %v", p, err)
+		}
+	}
+	ds := (&schema.Boot{}).ProtoReflect().Descriptor().Fields()
+	for i := range ds.Len() {
+		n := string(ds.Get(i).Name())
+		if v := c.String(flagName(n)); v != "" && c.IsSet(flagName(n)) {
+			m[n] = v
+			if ds.Get(i).IsList() {
+				m[n] = strings.Split(v, ",")
+			}
+		}
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return Check(b)
+}
+
+// Check reads boot settings from JSON text.
+func Check(b []byte) (*schema.Boot, error) {
+	s := &schema.Boot{}
+	var g errs.Group
+	for _, p := range settings.Read(b, s) {
+		g.Add(fmt.Errorf("boot: %s", p))
+	}
+	return s, g.Err()
+}
+
+// Watch calls changed with each new reading of the file that differs from the
+// one before, until the context ends. It looks once a second at the file's
+// text itself: times and sizes can stay the same over a change.
+func Watch(ctx context.Context, c *cli.Command, changed func(*schema.Boot, error)) {
+	p := c.String("boot")
+	if p == "" {
+		return
+	}
+	old, _ := os.ReadFile(p)
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		b, err := os.ReadFile(p)
+		if err != nil || slices.Equal(b, old) {
+			continue
+		}
+		old = b
+		changed(Read(c))
+	}
+}
--- /dev/null
+++ b/cmd/stoneford-pool/main.go
@@ -0,0 +1,18 @@
+// Command stoneford-pool is the data plane's daemon.
+package main
+
+import (
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/do/v2"
+
+	"stoneford/daemon"
+	"stoneford/pool"
+	"stoneford/schema"
+)
+
+func main() {
+	daemon.Main("stoneford-pool", "serves callers' queries from a shared pool of database connections",
+		func(i do.Injector) (daemon.Service, error) {
+			return pool.NewProcess(do.MustInvoke[*schema.Boot](i), do.MustInvoke[clockwork.Clock](i)), nil
+		}, func(daemon.Service, *schema.Boot) {})
+}
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,574 @@
+// Package control is the control plane: voters, mergeable records and the
+// duties that go with them. Core is deterministic and is what the simulator
+// runs; Process puts links, disk, HTTP and timers around it.
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ballots"
+	"stoneford/duties"
+	"stoneford/neighbours"
+	"stoneford/permits"
+	"stoneford/records"
+	"stoneford/relaytree"
+	"stoneford/result"
+	"stoneford/roster"
+	"stoneford/schema"
+	"stoneford/settings"
+	"stoneford/step"
+	"stoneford/takeover"
+)
+
+// Keys of the registers.
+const (
+	ConfigPrefix = "config/"
+	GroupPrefix  = "group/"
+	dutyPrefix   = "duty/"
+)
+
+// Events.
+type (
+	// PutSettings brings a partner's whole configuration or a merge patch.
+	PutSettings struct {
+		ID      uint64
+		Partner string
+		Base    uint64
+		Patch   bool
+		DryRun  bool
+		Text    []byte
+	}
+	// GetSettings reads a partner's configuration through a majority.
+	GetSettings struct {
+		ID      uint64
+		Partner string
+	}
+	// DatabaseSaid ends an AskDatabase.
+	DatabaseSaid struct {
+		Group  string
+		ID     uint64
+		Err    bool
+		Status takeover.Status
+	}
+	// Stop hands the duties over.
+	Stop struct{}
+)
+
+// Effects.
+type (
+	// Return ends a put or a get.
+	Return struct {
+		ID       uint64
+		Code     result.Code
+		Revision uint64
+		Text     json.RawMessage
+		Problems []settings.Problem
+	}
+	// AskDatabase puts a question to a database.
+	AskDatabase struct {
+		Group   string
+		ID      uint64
+		Address string
+		Seal    uint64
+	}
+	// Platform asks the platform for a takeover.
+	Platform struct {
+		Group   string
+		Target  string
+		Epoch   uint64
+		Members []takeover.Place
+	}
+	// Say is for the log.
+	Say struct {
+		Code result.Code
+		Text string
+	}
+)
+
+// Effects of one step. Log must be synced before anything else is done.
+type Effects struct {
+	Log  []*schema.VoterLog
+	Send []step.Send
+	Do   []any
+}
+
+const (
+	compareEvery  = 400_000
+	announceEvery = 1_000_000
+	rosterEvery   = 200_000
+	settingExpiry = 4_000_000
+	catchUpEvery  = 400_000
+	reportFresh   = 1_500_000
+	reportGone    = 30_000_000
+)
+
+type groupDuty struct {
+	setting *schema.GroupSetting
+	places  []takeover.Place
+	limits  map[string]int32
+	decider *takeover.Group
+	holder  *permits.Holder
+	term    uint64
+}
+
+// Core is one control process.
+type Core struct {
+	self     string
+	run      uint64
+	boot     *schema.Boot
+	voter    *ballots.Voter
+	proposer *ballots.Proposer
+	relay    *relaytree.Relay
+	recs     *records.Store
+	watch    *neighbours.Watch // as one node among all
+	ctl      *neighbours.Watch // over the other control processes
+	down     map[string]bool   // control processes that are silent
+	duty     *duties.Duties
+	groups   map[string]*groupDuty
+	configs  map[string]*schema.Configuration
+	nodes    []roster.Node
+	pending  map[string]func(int64, ballots.Outcome)
+	catching map[string]int64
+	names    uint64
+	stamp    uint64
+	turn     int
+	formed   bool
+	leaving  bool
+	nextCmp  int64
+	nextAnn  int64
+	nextRos  int64
+	fx       Effects
+}
+
+// NewCore makes a control process; run must be greater than any earlier run's
+// of this process, nonce random.
+func NewCore(b *schema.Boot, run uint64, nonce uint32) *Core {
+	c := &Core{self: b.Listen, run: run, boot: b,
+		voter:    ballots.NewVoter(b.Listen, b.Seeds, nonce),
+		proposer: ballots.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
+		relay:    relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
+		watch: neighbours.New(b.Listen), ctl: neighbours.New(b.Listen), down: map[string]bool{},
+		groups: map[string]*groupDuty{}, configs: map[string]*schema.Configuration{},
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, stamp: run}
+	c.duty = duties.New(b.Listen, b.Seeds, c.name)
+	return c
+}
+
+// Restore plays one entry of the voter's log back.
+func (c *Core) Restore(l *schema.VoterLog) { c.voter.Restore(l) }
+
+// Snapshot is the voter's whole state as one log entry.
+func (c *Core) Snapshot() *schema.VoterLog { return c.voter.Snapshot() }
+
+func (c *Core) name() string { c.names++; return fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names) }
+
+func (c *Core) say(code result.Code, f string, a ...any) {
+	c.fx.Do = append(c.fx.Do, Say{Code: code, Text: fmt.Sprintf(f, a...)})
+}
+
+// Step takes events, then does what is due.
+func (c *Core) Step(now int64, evs ...any) Effects {
+	c.fx = Effects{}
+	for _, e := range evs {
+		c.event(now, e)
+	}
+	c.tick(now)
+	return c.fx
+}
+
+func (c *Core) event(now int64, e any) {
+	switch e := e.(type) {
+	case *schema.Envelope:
+		c.envelope(now, e)
+	case PutSettings:
+		c.putSettings(now, e)
+	case GetSettings:
+		c.read(now, ConfigPrefix+e.Partner, func(now int64, o ballots.Outcome) {
+			r := Return{ID: e.ID, Code: verdict(o.Verdict, false), Revision: o.Value.GetRevision(), Text: text(o.Value)}
+			c.fx.Do = append(c.fx.Do, r)
+		})
+	case DatabaseSaid:
+		if g := c.groups[e.Group]; g != nil {
+			g.decider.Said(now, e.ID, e.Err, e.Status)
+		}
+	case Stop:
+		c.leaving = true
+		c.duty.Leave()
+		c.nextAnn = 0
+	}
+}
+
+func (c *Core) envelope(now int64, e *schema.Envelope) {
+	switch b := e.Body.(type) {
+	case *schema.Envelope_Prepare, *schema.Envelope_Accept, *schema.Envelope_Join, *schema.Envelope_JoinReturn:
+		c.voted(c.voter.Step(now, e))
+	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
+		c.proposed(now, c.proposer.Step(now, e))
+	case *schema.Envelope_News, *schema.Envelope_Digest:
+		c.learned(c.relay.Step(now, e))
+	case *schema.Envelope_Records, *schema.Envelope_RangeDigests:
+		c.fx.Send = append(c.fx.Send, c.recs.Step(now, e).Send...)
+	case *schema.Envelope_Ping:
+		c.watched(now, c.watch.Step(now, e))
+	case *schema.Envelope_Pong:
+		c.watched(now, c.watch.Step(now, e))
+		c.watchedCtl(c.ctl.Step(now, e))
+	case *schema.Envelope_PermitAsk:
+		c.permitAsk(now, e.From, b.PermitAsk)
+	}
+}
+
+func (c *Core) voted(fx ballots.Effects) {
+	c.fx.Log = append(c.fx.Log, fx.Log...)
+	c.fx.Send = append(c.fx.Send, fx.Send...)
+}
+
+func (c *Core) proposed(now int64, fx ballots.ProposerEffects) {
+	c.fx.Send = append(c.fx.Send, fx.Send...)
+	for _, o := range fx.Outcomes {
+		if o.Verdict == ballots.Agreed || o.Verdict == ballots.Lost {
+			c.agreed(now, o.Change.Key, o.Value)
+		}
+		if f := c.pending[o.Change.Name]; f != nil {
+			delete(c.pending, o.Change.Name)
+			f(now, o)
+		}
+	}
+}
+
+// agreed hands what is known to be chosen to the relay tree.
+func (c *Core) agreed(now int64, key string, v *schema.Value) {
+	if v.GetRevision() > 0 && !strings.HasPrefix(key, dutyPrefix) {
+		c.learned(c.relay.Learn(now, []*schema.Register{{Key: key, Value: v}}, 0, c.self))
+	}
+}
+
+func (c *Core) learned(fx relaytree.Effects) {
+	c.fx.Send = append(c.fx.Send, fx.Send...)
+	for _, g := range fx.New {
+		if p, ok := strings.CutPrefix(g.Key, ConfigPrefix); ok {
+			cf, ps := settings.ReadConfiguration(g.Value.Data)
+			if len(ps) > 0 {
+				c.say(result.InvalidSettings, "%s revision %d: %s", g.Key, g.Value.Revision, ps[0])
+				continue
+			}
+			c.configs[p] = cf
+			c.say(result.RevisionApplied, "%s revision %d", g.Key, g.Value.Revision)
+			c.plan()
+		}
+	}
+}
+
+// plan works out which groups there are and who has a duty to them.
+func (c *Core) plan() {
+	var ks []string
+	for _, p := range slices.Sorted(maps.Keys(c.configs)) {
+		cf := c.configs[p]
+		for _, n := range slices.Sorted(maps.Keys(cf.Groups)) {
+			k := p + "/" + n
+			ks = append(ks, dutyPrefix+k)
+			g := c.groups[k]
+			if g == nil {
+				g = &groupDuty{decider: takeover.New()}
+				c.groups[k] = g
+			}
+			g.setting, g.places, g.limits = cf.Groups[n], nil, map[string]int32{}
+			for _, m := range cf.Groups[n].Members {
+				g.places = append(g.places, takeover.Place{Name: m, Address: cf.Databases[m].Address})
+				g.limits[m] = cf.Databases[m].Connections
+			}
+		}
+	}
+	c.duty.Want(ks)
+	maps.DeleteFunc(c.groups, func(k string, _ *groupDuty) bool { return !slices.Contains(ks, dutyPrefix+k) })
+}
+
+func (c *Core) ask(now int64, ch ballots.Change, f func(int64, ballots.Outcome)) {
+	c.pending[ch.Name] = f
+	c.proposed(now, c.proposer.Ask(now, ch))
+}
+
+func (c *Core) read(now int64, key string, f func(int64, ballots.Outcome)) {
+	c.ask(now, ballots.Change{Name: c.name(), Key: key, Read: true, Expiry: now + settingExpiry}, f)
+}
+
+func verdict(v ballots.Verdict, change bool) result.Code {
+	switch {
+	case v == ballots.Agreed:
+		return result.OK
+	case v == ballots.Lost:
+		return result.LosingRevision
+	case v == ballots.Uncertain && change:
+		return result.ChangeUncertain
+	}
+	return result.NoVoterMajority
+}
+
+func text(v *schema.Value) json.RawMessage {
+	if v == nil {
+		return nil
+	}
+	return v.Data
+}
+
+// putSettings reads the newest revision through a majority, checks the change
+// against it and puts it to the vote.
+func (c *Core) putSettings(now int64, e PutSettings) {
+	key := ConfigPrefix + e.Partner
+	ret := func(r Return) { r.ID = e.ID; c.fx.Do = append(c.fx.Do, r) }
+	c.read(now, key, func(now int64, o ballots.Outcome) {
+		cur := o.Value
+		switch {
+		case o.Verdict != ballots.Agreed:
+			ret(Return{Code: result.NoVoterMajority})
+			return
+		case cur.GetRevision() != e.Base:
+			ret(Return{Code: result.LosingRevision, Revision: cur.GetRevision(), Text: text(cur)})
+			return
+		}
+		next := e.Text
+		if e.Patch {
+			old := cur.GetData()
+			if old == nil {
+				old = []byte("{}")
+			}
+			var err error
+			if next, err = jsonpatch.MergePatch(old, e.Text); err != nil {
+				ret(Return{Code: result.OperatorBadJSON, Revision: e.Base, Problems: []settings.Problem{{Text: err.Error()}}})
+				return
+			}
+		}
+		if _, ps := settings.ReadConfiguration(next); len(ps) > 0 {
+			ret(Return{Code: result.InvalidSettings, Revision: e.Base, Problems: ps})
+			return
+		}
+		if e.DryRun {
+			ret(Return{Code: result.OK, Revision: e.Base, Text: next})
+			return
+		}
+		c.ask(now, ballots.Change{Name: c.name(), Key: key, Base: e.Base, Data: next, Expiry: now + settingExpiry}, func(now int64, o ballots.Outcome) {
+			ret(Return{Code: verdict(o.Verdict, true), Revision: o.Value.GetRevision(), Text: text(o.Value)})
+		})
+	})
+}
+
+func (c *Core) watched(now int64, fx neighbours.Effects) {
+	c.fx.Send = append(c.fx.Send, fx.Send...)
+	for _, n := range slices.Sorted(maps.Keys(fx.Changed)) {
+		if fx.Changed[n] {
+			c.say(result.NeighbourSuspected, "%s", n)
+		}
+		d := &schema.SuspectRecord{Suspected: fx.Changed[n]}
+		for _, o := range c.nodes {
+			if o.Address == n {
+				d.Run = o.Run
+			}
+		}
+		c.write(now, roster.SuspectKey(n, c.self), d)
+	}
+}
+
+func (c *Core) watchedCtl(fx neighbours.Effects) {
+	c.fx.Send = append(c.fx.Send, fx.Send...)
+	for n, s := range fx.Changed {
+		c.down[n] = s
+	}
+}
+
+func (c *Core) write(now int64, key string, m proto.Message) {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	c.stamp++
+	c.recs.Put(now, &schema.Record{Key: key, Stamp: c.stamp, Data: b})
+}
+
+func (c *Core) alive(o string) bool { return o == c.self && !c.leaving || o != c.self && !c.down[o] }
+
+func (c *Core) tick(now int64) {
+	c.voted(c.voter.Tick(now))
+	if c.voter.Formed() && !c.formed {
+		c.formed = true
+		c.say(result.VoterFormed, "%s", c.self)
+	}
+	c.proposed(now, c.proposer.Tick(now))
+	c.learned(c.relay.Tick(now))
+	if now >= c.nextRos {
+		c.nextRos = now + rosterEvery
+		c.nodes = roster.Read(now, c.recs)
+		all := roster.Addresses(c.nodes)
+		c.watch.Nodes(now, all)
+		c.ctl.Nodes(now, c.boot.Seeds)
+		c.relay.Live(roster.Live(c.nodes))
+		c.recs.Each(roster.ReportPrefix, func(r *schema.Record) {
+			if c.recs.AgeUs(now, r.Key) > reportGone {
+				c.recs.Forget(r.Key)
+			}
+		})
+	}
+	if now >= c.nextAnn {
+		c.nextAnn = now + announceEvery
+		c.write(now, roster.NodePrefix+c.self, &schema.NodeRecord{Name: c.boot.Name, Zone: c.boot.Zone, Partner: c.boot.Partner,
+			Http: c.boot.Http, Kind: "control", Leaving: c.leaving, Run: c.run})
+		for _, k := range c.relay.Keys() {
+			if r := c.recs.Get(roster.AppliedPrefix + k + "/" + c.boot.Name); r == nil || !c.sameRevision(r, k) {
+				c.write(now, roster.AppliedPrefix+k+"/"+c.boot.Name, &schema.AppliedRecord{Revision: c.relay.Held(k).Revision})
+			}
+		}
+	}
+	c.watched(now, c.watch.Tick(now))
+	c.watchedCtl(c.ctl.Tick(now))
+	if now >= c.nextCmp {
+		c.nextCmp = now + compareEvery
+		c.turn++
+		if o := c.boot.Seeds[c.turn%len(c.boot.Seeds)]; o != c.self {
+			c.fx.Send = append(c.fx.Send, c.recs.Compare(o, "", ""))
+		}
+	}
+	c.catchUp(now)
+	c.dutyTick(now)
+}
+
+func (c *Core) sameRevision(r *schema.Record, k string) bool {
+	d := &schema.AppliedRecord{}
+	return proto.Unmarshal(r.Data, d) == nil && d.Revision == c.relay.Held(k).Revision
+}
+
+// catchUp asks after registers of which this voter accepted more than it heard
+// was agreed: whoever made the revision may have died before it told anyone.
+func (c *Core) catchUp(now int64) {
+	if !c.formed {
+		return
+	}
+	vs := c.voter.Values()
+	for _, k := range slices.Sorted(maps.Keys(vs)) {
+		if strings.HasPrefix(k, dutyPrefix) || vs[k].Revision <= c.relay.Held(k).GetRevision() || now < c.catching[k] {
+			continue
+		}
+		if c.catching[k] == 0 {
+			// Most often the proposer is just about to tell.
+			c.catching[k] = now + catchUpEvery
+			continue
+		}
+		c.catching[k] = now + catchUpEvery
+		c.read(now, k, func(int64, ballots.Outcome) { delete(c.catching, k) })
+	}
+}
+
+func (c *Core) dutyTick(now int64) {
+	if !c.formed {
+		return
+	}
+	fx := c.duty.Tick(now, c.alive)
+	for _, ch := range fx.Changes {
+		c.ask(now, ch, func(now int64, o ballots.Outcome) {
+			for _, k := range c.duty.Outcome(now, o).Taken {
+				c.say(result.DutyTaken, "%s", k)
+			}
+		})
+	}
+	for _, k := range slices.Sorted(maps.Keys(c.groups)) {
+		c.groupTick(now, k, c.groups[k])
+	}
+}
+
+// GroupState reads a group's state out of its register.
+func GroupState(v *schema.Value) *schema.GroupState {
+	s := &schema.GroupState{}
+	if v != nil && proto.Unmarshal(v.Data, s) != nil {
+		return &schema.GroupState{}
+	}
+	return s
+}
+
+func (c *Core) groupTick(now int64, k string, g *groupDuty) {
+	acts := c.duty.Acts(dutyPrefix+k, now)
+	if !acts {
+		g.holder = nil
+	}
+	v := c.relay.Held(GroupPrefix + k)
+	in := takeover.Input{Places: g.places, First: g.setting.Primary, State: GroupState(v), Rev: v.GetRevision(), Known: true, Acts: acts, Reports: map[string]takeover.Report{}}
+	pre := roster.ReportPrefix + k + "/"
+	c.recs.Each(pre, func(r *schema.Record) {
+		d := &schema.DatabaseReport{}
+		if c.recs.AgeUs(now, r.Key) > reportFresh || proto.Unmarshal(r.Data, d) != nil {
+			return
+		}
+		db, _, _ := strings.Cut(strings.TrimPrefix(r.Key, pre), "/")
+		s := in.Reports[db]
+		if d.Reachable {
+			s.Reach++
+		} else {
+			s.Miss++
+		}
+		in.Reports[db] = s
+	})
+	for _, e := range g.decider.Step(now, in) {
+		switch e := e.(type) {
+		case takeover.Ask:
+			c.fx.Do = append(c.fx.Do, AskDatabase{Group: k, ID: e.ID, Address: e.Address, Seal: e.Seal})
+		case takeover.Put:
+			c.ask(now, ballots.Change{Name: c.name(), Key: GroupPrefix + k, Base: e.Base, Data: e.Data, Expiry: now + settingExpiry},
+				func(int64, ballots.Outcome) { g.decider.PutDone() })
+		case takeover.Platform:
+			c.fx.Do = append(c.fx.Do, Platform{Group: k, Target: e.Target, Epoch: e.Epoch, Members: e.Members})
+		case takeover.Say:
+			c.say(e.Code, "%s %s", k, e.Text)
+		}
+	}
+}
+
+func (c *Core) permitAsk(now int64, from string, a *schema.PermitAsk) {
+	g, k := c.groups[a.Group], dutyPrefix+a.Group
+	if g == nil || !c.duty.Exclusive(k, now) {
+		return
+	}
+	_, term := c.duty.HeldUs(k, now)
+	if g.holder == nil || g.term != term {
+		g.holder, g.term = permits.NewHolder(now, term == 1), term
+	}
+	wants := true
+	for _, n := range c.nodes {
+		if n.Address == from {
+			wants = !n.Leaving
+		}
+	}
+	gv := g.holder.Ask(now, from, a, g.limits, wants)
+	c.fx.Send = append(c.fx.Send, step.Send{To: from, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_PermitGive{PermitGive: gv}}})
+}
+
+// Nodes is who is in the fleet, as this process knows it.
+func (c *Core) Nodes() []roster.Node { return c.nodes }
+
+// Held returns the newest agreed value this process knows of a register.
+func (c *Core) Held(key string) *schema.Value { return c.relay.Held(key) }
+
+// Groups names all configured groups, with the holder of the duty to each.
+func (c *Core) Groups() map[string]string {
+	m := map[string]string{}
+	for k := range c.groups {
+		m[k] = c.duty.Holder(dutyPrefix + k)
+	}
+	return m
+}
+
+// Applied tells which revision of a register is in force on each node.
+func (c *Core) Applied(key string) map[string]uint64 {
+	m := map[string]uint64{}
+	pre := roster.AppliedPrefix + key + "/"
+	c.recs.Each(pre, func(r *schema.Record) {
+		d := &schema.AppliedRecord{}
+		if proto.Unmarshal(r.Data, d) == nil {
+			m[strings.TrimPrefix(r.Key, pre)] = d.Revision
+		}
+	})
+	return m
+}
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"stoneford/result"
+	"stoneford/schema"
+	"stoneford/settings"
+)
+
+const bodyMost = 4 << 20
+
+// Reply is the shape of every return to an operator.
+type Reply struct {
+	Code     result.Code        `json:"code"`
+	Text     string             `json:"text"`
+	Detail   string             `json:"detail,omitempty"`
+	Partner  string             `json:"partner,omitempty"`
+	Revision uint64             `json:"revision"`
+	Settings json.RawMessage    `json:"settings,omitempty"`
+	Problems []settings.Problem `json:"problems,omitempty"`
+	Applied  map[string]uint64  `json:"applied,omitempty"`
+}
+
+func (p *Process) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/settings", p.getSettings)
+	m.HandleFunc("PUT /v1/settings", func(w http.ResponseWriter, r *http.Request) { p.putSettings(w, r, false) })
+	m.HandleFunc("PATCH /v1/settings", func(w http.ResponseWriter, r *http.Request) { p.putSettings(w, r, true) })
+	m.HandleFunc("GET /v1/status", p.status)
+	m.HandleFunc("GET /v1/ready", p.ready)
+	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		give(w, Reply{Code: result.UnknownPath, Detail: r.Method + " " + r.URL.Path})
+	})
+	return m
+}
+
+func giveJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+func give(w http.ResponseWriter, r Reply) {
+	r.Text = r.Code.String()
+	giveJSON(w, r.Code.Row().HTTP, r)
+}
+
+// partner is whose token came with a query.
+func (p *Process) partner(w http.ResponseWriter, r *http.Request) (string, bool) {
+	t, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	n, ok := (*p.tokens.Load())[t]
+	if !ok || t == "" {
+		give(w, Reply{Code: result.BadOperatorToken})
+		return "", false
+	}
+	if q := r.URL.Query().Get("partner"); q != "" && q != n {
+		give(w, Reply{Code: result.NotOwner, Detail: q})
+		return "", false
+	}
+	return n, true
+}
+
+func (p *Process) getSettings(w http.ResponseWriter, r *http.Request) {
+	n, ok := p.partner(w, r)
+	if !ok {
+		return
+	}
+	v, _ := p.ask(func(id uint64) any { return GetSettings{ID: id, Partner: n} })
+	out := Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text}
+	if r.URL.Query().Get("applied") != "" {
+		p.see(func(c *Core, _ int64) { out.Applied = c.Applied(ConfigPrefix + n) })
+	}
+	give(w, out)
+}
+
+type settingsBody struct {
+	BasedOn  uint64          `json:"based_on"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+func (p *Process) putSettings(w http.ResponseWriter, r *http.Request, patch bool) {
+	n, ok := p.partner(w, r)
+	if !ok {
+		return
+	}
+	var b settingsBody
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
+	d.DisallowUnknownFields()
+	err := d.Decode(&b)
+	if err == nil && len(b.Settings) == 0 {
+		err = errors.New("settings: required")
+	}
+	if err != nil {
+		give(w, Reply{Code: result.OperatorBadJSON, Detail: err.Error(), Partner: n})
+		return
+	}
+	v, _ := p.ask(func(id uint64) any {
+		return PutSettings{ID: id, Partner: n, Base: b.BasedOn, Patch: patch, DryRun: r.URL.Query().Get("dry_run") != "", Text: b.Settings}
+	})
+	give(w, Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text, Problems: v.Problems})
+}
+
+// NodeStatus and GroupStatus are what operators see of the fleet.
+type (
+	NodeStatus struct {
+		Address string `json:"address"`
+		Name    string `json:"name"`
+		Kind    string `json:"kind"`
+		Zone    string `json:"zone"`
+		Partner string `json:"partner"`
+		HTTP    string `json:"http"`
+		Alive   bool   `json:"alive"`
+		Leaving bool   `json:"leaving"`
+	}
+	GroupStatus struct {
+		Name    string           `json:"name"`
+		Epoch   uint64           `json:"epoch"`
+		Phase   string           `json:"phase"`
+		Primary string           `json:"primary"`
+		Cause   string           `json:"cause"`
+		Holder  string           `json:"duty_holder"`
+		Members []*schema.Member `json:"members"`
+	}
+	Status struct {
+		Formed bool          `json:"votes"`
+		Nodes  []NodeStatus  `json:"nodes"`
+		Groups []GroupStatus `json:"groups"`
+	}
+)
+
+func (p *Process) status(w http.ResponseWriter, r *http.Request) {
+	if _, ok := p.partner(w, r); !ok {
+		return
+	}
+	s := Status{Nodes: []NodeStatus{}, Groups: []GroupStatus{}}
+	p.see(func(c *Core, _ int64) {
+		s.Formed = c.formed
+		for _, n := range c.Nodes() {
+			s.Nodes = append(s.Nodes, NodeStatus{Address: n.Address, Name: n.Name, Kind: n.Kind, Zone: n.Zone, Partner: n.Partner, HTTP: n.Http, Alive: n.Alive, Leaving: n.Leaving})
+		}
+		gs := c.Groups()
+		for _, k := range slices.Sorted(slices.Values(lo.Keys(gs))) {
+			g := GroupState(c.Held(GroupPrefix + k))
+			s.Groups = append(s.Groups, GroupStatus{Name: k, Epoch: g.Epoch, Phase: strings.ToLower(g.Phase.String()), Primary: g.Primary, Cause: g.Cause, Holder: gs[k], Members: g.Members})
+		}
+	})
+	giveJSON(w, http.StatusOK, s)
+}
+
+func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
+	var ok bool
+	p.see(func(c *Core, _ int64) { ok = c.formed })
+	giveJSON(w, lo.Ternary(ok, http.StatusOK, http.StatusServiceUnavailable), map[string]bool{"ready": ok})
+}
--- /dev/null
+++ b/databaseclient/client.go
@@ -0,0 +1,167 @@
+// Package databaseclient speaks the interfaces of databases and of the platform
+// (docs/database-interface.md).
+package databaseclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Status is a database's READY or STATUS.
+type Status struct {
+	Database  string `json:"database"`
+	Identity  string `json:"identity"`
+	Role      string `json:"role"`
+	Epoch     uint64 `json:"epoch"`
+	LogEpoch  uint64 `json:"log_epoch"`
+	Received  int64  `json:"received"`
+	Applied   int64  `json:"applied"`
+	Following string `json:"following"`
+	Leaving   bool   `json:"leaving"`
+	Health    string `json:"health"`
+}
+
+// Op is one step of a run.
+type Op struct {
+	Op       string            `json:"op"`
+	Text     string            `json:"text,omitempty"`
+	Prepared string            `json:"prepared,omitempty"`
+	Params   []string          `json:"params,omitempty"`
+	Values   map[string]string `json:"values,omitempty"`
+}
+
+// Result is one op's return.
+type Result struct {
+	Rows      [][]string `json:"rows"`
+	Position  int64      `json:"position"`
+	Tuples    int64      `json:"tuples"`
+	Relations []string   `json:"relations"`
+	Error     string     `json:"error"`
+}
+
+// Run is what a run returns.
+type Run struct {
+	Refused string   `json:"refused"`
+	Results []Result `json:"results"`
+	Epoch   uint64   `json:"epoch"`
+	Applied int64    `json:"applied"`
+}
+
+// Member is one database's place, as the platform is told of it.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Client is safe for use by many goroutines.
+type Client struct{ h *http.Client }
+
+// New makes a client.
+func New() *Client {
+	return &Client{h: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 700 * time.Millisecond, KeepAlive: 5 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// ErrNeverLeft marks a call of which no byte reached the other side.
+var ErrNeverLeft = errors.New("never left")
+
+func (c *Client) do(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrNeverLeft, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNeverLeft, err)
+	}
+	rs, err := c.h.Do(r)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return fmt.Errorf("%w: %w", ErrNeverLeft, err)
+		}
+		return err
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK && rs.StatusCode != http.StatusConflict {
+		t, _ := io.ReadAll(io.LimitReader(rs.Body, 200))
+		return fmt.Errorf("status %d: %s", rs.StatusCode, bytes.TrimSpace(t))
+	}
+	if err := json.NewDecoder(rs.Body).Decode(out); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, rs.Body)
+	return err
+}
+
+// Open opens a connection in the name of one run of a pool node: a later run
+// of the same node voids those of the earlier.
+func (c *Client) Open(ctx context.Context, addr, owner string, run uint64) (int64, error) {
+	var o struct {
+		Connection int64 `json:"connection"`
+	}
+	in := map[string]any{"owner": owner, "run": run}
+	err := c.do(ctx, http.MethodPost, "http://"+addr+"/v1/connections", in, &o)
+	return o.Connection, err
+}
+
+// Close closes a connection.
+func (c *Client) Close(ctx context.Context, addr string, id int64) error {
+	var o struct{}
+	return c.do(ctx, http.MethodDelete, fmt.Sprintf("http://%s/v1/connections/%d", addr, id), nil, &o)
+}
+
+// Run runs ops over a connection.
+func (c *Client) Run(ctx context.Context, addr string, id int64, epoch uint64, readOnly bool, ops []Op) (Run, error) {
+	var o Run
+	in := map[string]any{"epoch": epoch, "read_only": readOnly, "ops": ops}
+	err := c.do(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/connections/%d", addr, id), in, &o)
+	return o, err
+}
+
+// Poll asks for the status, waiting until the positions are reached or the
+// time is over.
+func (c *Client) Poll(ctx context.Context, addr string, received, applied, waitUs int64) (Status, error) {
+	var s Status
+	u := "http://" + addr + "/v1/status"
+	if waitUs > 0 {
+		u += fmt.Sprintf("?received=%d&applied=%d&wait_us=%d", received, applied, waitUs)
+	}
+	return s, c.do(ctx, http.MethodGet, u, nil, &s)
+}
+
+// Seal has a database take no log and no statement below an epoch. One that
+// refuses tells its status all the same.
+func (c *Client) Seal(ctx context.Context, addr string, epoch uint64) (Status, error) {
+	var s Status
+	return s, c.do(ctx, http.MethodPost, "http://"+addr+"/v1/seal", map[string]uint64{"epoch": epoch}, &s)
+}
+
+// Takeover asks the platform to make the target the group's primary in an
+// epoch and the others its followers.
+func (c *Client) Takeover(ctx context.Context, platform, group, target string, epoch uint64, ms []Member) error {
+	var o struct {
+		Error string `json:"error"`
+	}
+	in := map[string]any{"group": group, "target": target, "epoch": epoch, "members": ms}
+	if err := c.do(ctx, http.MethodPost, "http://"+platform+"/v1/takeover", in, &o); err != nil {
+		return err
+	}
+	if o.Error != "" {
+		return errors.New(o.Error)
+	}
+	return nil
+}
--- /dev/null
+++ b/duties/duties.go
@@ -0,0 +1,224 @@
+// Package duties gives each one-node duty a holder (design 9). A duty is a
+// register; its holder names a successor when it can, and where it can't, any
+// candidate takes the duty by a ballot among the voters' majority.
+//
+// Holding a duty is never what makes an act safe when an agreed register can
+// do it; where it is (dividing permits), Exclusive is what counts, and it rests
+// on each process's own monotonic clock alone.
+package duties
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ballots"
+	"stoneford/schema"
+	"stoneford/step"
+)
+
+const (
+	lookEvery = 500_000
+	askExpiry = 2_000_000
+	// PermitUs is how long a holder may act after the start of the last look
+	// that showed it as the holder.
+	PermitUs = 2_000_000
+	// waitUs is how long a new holder waits for the one before to have ended:
+	// the same time with a tenth for clocks that run at different rates.
+	waitUs = PermitUs * 11 / 10
+)
+
+type duty struct {
+	key      string
+	state    *schema.DutyState
+	revision uint64
+	known    bool
+	next     int64
+	asked    int64 // when the question under way was put, 0 if none is
+	valid    int64 // this process holds it until
+	since    int64 // this process has held it since
+	open     int64 // since when it has had no living holder
+	leaving  bool
+}
+
+// Effects of a step.
+type Effects struct {
+	Changes []ballots.Change
+	Taken   []string // duties this process now holds and did not before
+}
+
+// Duties is one candidate's view of all duties.
+type Duties struct {
+	self       string
+	candidates []string
+	name       func() string // makes names for changes
+	m          map[string]*duty
+	order      []string
+	leaving    bool
+}
+
+// New makes a candidate; name must give a new name each time.
+func New(self string, candidates []string, name func() string) *Duties {
+	return &Duties{self: self, candidates: candidates, name: name, m: map[string]*duty{}}
+}
+
+// Want names the duties there are.
+func (d *Duties) Want(keys []string) {
+	for _, k := range keys {
+		if d.m[k] == nil {
+			d.m[k] = &duty{key: k, state: &schema.DutyState{}}
+			d.order = append(d.order, k)
+		}
+	}
+	d.order = slices.DeleteFunc(d.order, func(k string) bool {
+		if !slices.Contains(keys, k) {
+			delete(d.m, k)
+			return true
+		}
+		return false
+	})
+}
+
+// Leave has this process hand its duties over.
+func (d *Duties) Leave() { d.leaving = true }
+
+// Acts says whether this process holds the duty, as far as it can know.
+func (d *Duties) Acts(k string, now int64) bool {
+	u := d.m[k]
+	return u != nil && u.state.Holder == d.self && now < u.valid && !u.leaving
+}
+
+// Exclusive says whether surely no other process acts on the duty.
+func (d *Duties) Exclusive(k string, now int64) bool {
+	u := d.m[k]
+	return d.Acts(k, now) && (u.state.Handed || u.state.Term == 1 || now >= u.since+waitUs)
+}
+
+// HeldUs is how long this process has held the duty, and its term.
+func (d *Duties) HeldUs(k string, now int64) (int64, uint64) {
+	if u := d.m[k]; u != nil {
+		return now - u.since, u.state.Term
+	}
+	return 0, 0
+}
+
+// Holder is the last holder seen.
+func (d *Duties) Holder(k string) string {
+	if u := d.m[k]; u != nil {
+		return u.state.Holder
+	}
+	return ""
+}
+
+// Tick looks at the registers and takes what has no living holder. Ranked by
+// the hash of duty and candidate, each waits a little longer than the one
+// before it, so that mostly one of them tries.
+func (d *Duties) Tick(now int64, alive func(string) bool) Effects {
+	var fx Effects
+	for _, k := range d.order {
+		u := d.m[k]
+		if u.asked > 0 {
+			if now-u.asked > askExpiry+lookEvery {
+				u.asked = 0
+			}
+			continue
+		}
+		if u.known && (u.state.Holder == "" || u.state.Holder != d.self && !alive(u.state.Holder)) && !d.leaving {
+			if u.open == 0 {
+				u.open = now
+			}
+			if now-u.open >= d.rank(k, alive)*300_000 {
+				d.put(&fx, now, u, &schema.DutyState{Holder: d.self, Term: u.state.Term + 1})
+				continue
+			}
+		} else {
+			u.open = 0
+		}
+		if d.leaving && u.state.Holder == d.self && u.known {
+			if n := d.successor(k, alive); n != "" {
+				u.leaving = true
+				d.put(&fx, now, u, &schema.DutyState{Holder: n, Term: u.state.Term + 1, Handed: true})
+				continue
+			}
+		}
+		if now >= u.next {
+			u.asked, u.next = now, now+lookEvery
+			fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: k, Read: true, Expiry: now + askExpiry})
+		}
+	}
+	return fx
+}
+
+func (d *Duties) put(fx *Effects, now int64, u *duty, s *schema.DutyState) {
+	b, err := proto.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	u.asked, u.next, u.known = now, now+lookEvery, false
+	fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: u.key, Base: u.revision, Data: b, Expiry: now + askExpiry})
+}
+
+// Outcome takes the end of a change of this package.
+func (d *Duties) Outcome(now int64, o ballots.Outcome) Effects {
+	var fx Effects
+	u := d.m[o.Change.Key]
+	if u == nil {
+		return fx
+	}
+	asked := u.asked
+	u.asked = 0
+	if o.Verdict != ballots.Agreed && o.Verdict != ballots.Lost {
+		return fx
+	}
+	s := &schema.DutyState{}
+	if err := proto.Unmarshal(o.Value.GetData(), s); err != nil {
+		return fx
+	}
+	if o.Value.GetRevision() < u.revision {
+		return fx
+	}
+	was := u.state.Holder == d.self && u.state.Term == s.Term
+	u.state, u.revision, u.known = s, o.Value.GetRevision(), true
+	if s.Holder == d.self && asked > 0 {
+		if !was {
+			u.since = now
+			fx.Taken = append(fx.Taken, u.key)
+		}
+		u.valid = asked + PermitUs
+	}
+	return fx
+}
+
+func (d *Duties) ranked(k string) []string {
+	cs := slices.Clone(d.candidates)
+	slices.SortFunc(cs, func(a, b string) int {
+		if step.Hash(k, a) < step.Hash(k, b) {
+			return -1
+		}
+		return 1
+	})
+	return cs
+}
+
+// rank counts the living candidates ahead of this one.
+func (d *Duties) rank(k string, alive func(string) bool) int64 {
+	n := int64(0)
+	for _, c := range d.ranked(k) {
+		if c == d.self {
+			break
+		}
+		if alive(c) {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Duties) successor(k string, alive func(string) bool) string {
+	for _, c := range d.ranked(k) {
+		if c != d.self && alive(c) {
+			return c
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/links/links.go
@@ -0,0 +1,164 @@
+// Package links carries envelopes between processes over drpc. Delivery is not
+// promised: a neighbour that is slow or gone loses what does not fit its line,
+// and the cores above repeat what matters (design 2.3).
+package links
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"stoneford/schema"
+)
+
+const (
+	lineLength  = 1024
+	dialTime    = 700 * time.Millisecond
+	dialAgain   = 150 * time.Millisecond
+	idleOut     = 30 * time.Second
+	stuckWrites = 3 * time.Second
+)
+
+// Links is one process's end of all its links.
+type Links struct {
+	self    string
+	receive func(*schema.Envelope)
+	ctx     context.Context
+	mu      sync.Mutex
+	out     map[string]chan *schema.Envelope
+	sent    atomic.Uint64
+	dropped atomic.Uint64
+	taken   atomic.Uint64
+}
+
+// New makes the links of a process; receive is called from many goroutines.
+func New(ctx context.Context, self string, receive func(*schema.Envelope)) *Links {
+	return &Links{self: self, receive: receive, ctx: ctx, out: map[string]chan *schema.Envelope{}}
+}
+
+// Counts are envelopes sent, dropped and received.
+func (l *Links) Counts() (sent, dropped, received uint64) {
+	return l.sent.Load(), l.dropped.Load(), l.taken.Load()
+}
+
+// Send hands an envelope on; it never blocks.
+func (l *Links) Send(to string, e *schema.Envelope) {
+	if to == l.self {
+		l.receive(e)
+		return
+	}
+	l.mu.Lock()
+	ch := l.out[to]
+	if ch == nil {
+		ch = make(chan *schema.Envelope, lineLength)
+		l.out[to] = ch
+		go l.run(to, ch)
+	}
+	l.mu.Unlock()
+	select {
+	case ch <- e:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+func (l *Links) run(to string, ch chan *schema.Envelope) {
+	for l.ctx.Err() == nil {
+		if l.connected(to, ch) {
+			l.mu.Lock()
+			if len(ch) == 0 {
+				delete(l.out, to)
+				l.mu.Unlock()
+				return
+			}
+			l.mu.Unlock()
+		}
+		t := time.NewTimer(dialAgain)
+		select {
+		case <-l.ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		// What waited out a failed dial is old news.
+		for n := len(ch); n > 0; n-- {
+			<-ch
+			l.dropped.Add(1)
+		}
+	}
+}
+
+// connected sends over one connection until it breaks; true says that it was
+// merely idle.
+func (l *Links) connected(to string, ch chan *schema.Envelope) bool {
+	d := net.Dialer{Timeout: dialTime}
+	nc, err := d.DialContext(l.ctx, "tcp", to)
+	if err != nil {
+		return false
+	}
+	c := drpcconn.New(deadlined{nc})
+	defer c.Close()
+	ctx, stop := context.WithCancel(l.ctx)
+	defer stop()
+	s, err := schema.NewDRPCNodesClient(c).Link(ctx)
+	if err != nil {
+		return false
+	}
+	t := time.NewTimer(idleOut)
+	defer t.Stop()
+	for {
+		select {
+		case e := <-ch:
+			if s.Send(e) != nil {
+				return false
+			}
+			l.sent.Add(1)
+			t.Reset(idleOut)
+		case <-c.Closed():
+			return false
+		case <-t.C:
+			return true
+		case <-l.ctx.Done():
+			return true
+		}
+	}
+}
+
+// deadlined gives up on a neighbour that takes no bytes: its kernel may hold
+// the connection open long after its process stopped.
+type deadlined struct{ net.Conn }
+
+func (d deadlined) Write(b []byte) (int, error) {
+	if err := d.SetWriteDeadline(time.Now().Add(stuckWrites)); err != nil {
+		return 0, err
+	}
+	return d.Conn.Write(b)
+}
+
+type nodes struct{ l *Links }
+
+// Link takes a neighbour's envelopes until it hangs up.
+func (n nodes) Link(s schema.DRPCNodes_LinkStream) error {
+	for {
+		e, err := s.Recv()
+		if err != nil {
+			return s.SendAndClose(&schema.LinkEnd{})
+		}
+		n.l.taken.Add(1)
+		n.l.receive(e)
+	}
+}
+
+// Serve takes links on a listener until the context ends.
+func (l *Links) Serve(ln net.Listener) error {
+	m := drpcmux.New()
+	if err := schema.DRPCRegisterNodes(m, nodes{l}); err != nil {
+		return err
+	}
+	return drpcserver.New(m).Serve(l.ctx, ln)
+}
--- /dev/null
+++ b/pool/callers.go
@@ -0,0 +1,234 @@
+package pool
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"stoneford/querytable"
+	"stoneford/result"
+)
+
+const bodyMost = 1 << 20
+
+// reply is the shape of every return to a caller.
+type reply struct {
+	Code         result.Code       `json:"code"`
+	Text         string            `json:"text"`
+	Detail       string            `json:"detail,omitempty"`
+	Outcome      result.Outcome    `json:"outcome"`
+	Session      string            `json:"session,omitempty"`
+	Rows         [][][]string      `json:"rows,omitempty"`
+	RetryAfterUs int64             `json:"retry_after_us,omitempty"`
+	Token        *querytable.Token `json:"token,omitempty"`
+	Copy         string            `json:"copy,omitempty"`
+	Position     int64             `json:"position,omitempty"`
+	Open         bool              `json:"open,omitempty"`
+}
+
+func (p *Process) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/sessions", p.openSession)
+	m.HandleFunc("DELETE /v1/sessions/{id}", p.shutSession)
+	m.HandleFunc("POST /v1/sessions/{id}/values", p.changeSession)
+	m.HandleFunc("POST /v1/sessions/{id}/queries", p.querySession)
+	m.HandleFunc("GET /v1/ready", p.ready)
+	m.HandleFunc("GET /v1/counts", p.counts)
+	return m
+}
+
+func give(w http.ResponseWriter, r reply) {
+	r.Text = r.Code.String()
+	h := r.Code.Row().HTTP
+	w.Header().Set("Content-Type", "application/json")
+	if r.RetryAfterUs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((r.RetryAfterUs+999_999)/1_000_000, 10))
+	}
+	w.WriteHeader(h)
+	json.NewEncoder(w).Encode(r)
+}
+
+func refuse(w http.ResponseWriter, c result.Code, detail string) {
+	give(w, reply{Code: c, Detail: detail, Outcome: result.NothingKept})
+}
+
+// body reads the one JSON value a path takes; a name it does not know is an
+// error, since leaving it out would change what was asked.
+func body(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil && d.More() {
+		err = errors.New("more than one JSON value")
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		refuse(w, result.TooLarge, "")
+	case err != nil:
+		refuse(w, result.BadJSON, err.Error())
+	}
+	return err == nil
+}
+
+type sessionBody struct {
+	Session  string            `json:"session"`
+	Route    string            `json:"route"`
+	Values   map[string]string `json:"values"`
+	Prepared map[string]string `json:"prepared"`
+	Token    querytable.Token  `json:"token"`
+}
+
+func (p *Process) openSession(w http.ResponseWriter, r *http.Request) {
+	var b sessionBody
+	if !body(w, r, &b) {
+		return
+	}
+	rs := *p.routes.Load()
+	rt, ok := rs[b.Route]
+	var g *runner
+	if ok {
+		g = (*p.groups.Load())[rt.Group]
+	}
+	switch {
+	case p.stopping.Load():
+		refuse(w, result.Stopping, "")
+		return
+	case len(rs) == 0 || ok && g == nil:
+		give(w, reply{Code: result.NotConfigured, Outcome: result.NothingKept, RetryAfterUs: 300_000})
+		return
+	case !ok:
+		refuse(w, result.UnknownRoute, b.Route)
+		return
+	case b.Token.Group != "" && b.Token.Group != rt.Group:
+		refuse(w, result.BadToken, "of "+b.Token.Group)
+		return
+	}
+	id := b.Session
+	if id == "" {
+		id = rand.Text()
+	}
+	if _, taken := p.sessions.LoadOrStore(id, &routed{r: g, route: b.Route}); taken {
+		refuse(w, result.SessionExists, id)
+		return
+	}
+	g.l.Post(querytable.Open{Session: id, Values: b.Values, Prepared: b.Prepared, Token: b.Token})
+	give(w, reply{Outcome: result.Done, Session: id, Token: lo.ToPtr(b.Token)})
+}
+
+// routed is a session's route and its group's runner.
+type routed struct {
+	r     *runner
+	route string
+}
+
+func (p *Process) session(w http.ResponseWriter, r *http.Request) (string, *routed) {
+	id := r.PathValue("id")
+	v, ok := p.sessions.Load(id)
+	if !ok {
+		refuse(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
+		return id, nil
+	}
+	return id, v.(*routed)
+}
+
+func (p *Process) shutSession(w http.ResponseWriter, r *http.Request) {
+	id, s := p.session(w, r)
+	if s == nil {
+		return
+	}
+	p.sessions.Delete(id)
+	s.r.l.Post(querytable.Shut{Session: id})
+	give(w, reply{Outcome: result.Done, Session: id})
+}
+
+func (p *Process) changeSession(w http.ResponseWriter, r *http.Request) {
+	id, s := p.session(w, r)
+	if s == nil {
+		return
+	}
+	var b struct {
+		Values   map[string]string `json:"values"`
+		Prepared map[string]string `json:"prepared"`
+	}
+	if !body(w, r, &b) {
+		return
+	}
+	n := p.queryID.Add(1)
+	p.give(w, id, s.r.ask(n, querytable.Change{ID: n, Session: id, Values: b.Values, Prepared: b.Prepared}))
+}
+
+type queryBody struct {
+	Query      string                 `json:"query"`
+	Class      string                 `json:"class"`
+	ReadOnly   bool                   `json:"read_only"`
+	Begin      bool                   `json:"begin"`
+	Commit     bool                   `json:"commit"`
+	Rollback   bool                   `json:"rollback"`
+	Statements []querytable.Statement `json:"statements"`
+	ExpiryUs   int64                  `json:"expiry_us"`
+}
+
+func (p *Process) querySession(w http.ResponseWriter, r *http.Request) {
+	id, s := p.session(w, r)
+	if s == nil {
+		return
+	}
+	var b queryBody
+	if !body(w, r, &b) {
+		return
+	}
+	if rt, ok := (*p.routes.Load())[s.route]; !ok {
+		refuse(w, result.UnknownRoute, s.route)
+		return
+	} else if !slices.Contains(rt.Classes, b.Class) {
+		refuse(w, result.ClassNotOnRoute, b.Class)
+		return
+	}
+	n := p.queryID.Add(1)
+	p.give(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
+		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, ExpiryUs: b.ExpiryUs}))
+}
+
+func (p *Process) give(w http.ResponseWriter, session string, v querytable.Return) {
+	if v.Code == result.UnknownSession {
+		p.sessions.Delete(session) // the table let it go after long idling
+	}
+	give(w, reply{Code: v.Code, Detail: v.Text, Outcome: v.Outcome, Session: session, Rows: v.Rows, RetryAfterUs: v.RetryAfterUs,
+		Token: lo.ToPtr(v.Token), Copy: v.Copy, Position: v.Position, Open: v.Open})
+}
+
+// ready says whether the platform may hand this node connections.
+func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
+	gs := *p.groups.Load()
+	ok := len(gs) > 0 && !p.stopping.Load()
+	waiting := []string{}
+	for k, g := range gs {
+		if v := g.counts.Load(); v == nil || !lo.SomeBy(v.Views, func(v querytable.View) bool { return v.Known }) {
+			ok = false
+			waiting = append(waiting, k)
+		}
+	}
+	slices.Sort(waiting)
+	w.Header().Set("Content-Type", "application/json")
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	json.NewEncoder(w).Encode(map[string]any{"ready": ok, "stopping": p.stopping.Load(), "waiting_for": waiting})
+}
+
+func (p *Process) counts(w http.ResponseWriter, r *http.Request) {
+	gs := map[string]*tableView{}
+	for k, g := range *p.groups.Load() {
+		gs[k] = g.counts.Load()
+	}
+	sent, dropped, received := p.links.Counts()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(map[string]any{"groups": gs, "node": p.nodes.Load(),
+		"links": map[string]uint64{"sent": sent, "dropped": dropped, "received": received}})
+}
--- /dev/null
+++ b/pool/process.go
@@ -0,0 +1,298 @@
+package pool
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"stoneford/cleanup"
+	"stoneford/databaseclient"
+	"stoneford/links"
+	"stoneford/loop"
+	"stoneford/querytable"
+	"stoneford/result"
+	"stoneford/schema"
+)
+
+const (
+	nodeTick    = 20 * time.Millisecond
+	tableTick   = 5 * time.Millisecond
+	viewEvery   = 100_000
+	lineLength  = 8192
+	graceUs     = 3_000_000
+	pollExtra   = 500 * time.Millisecond
+	connectTime = time.Second
+)
+
+// Process is one pool node: the core, a runner for each group, links and HTTP.
+type Process struct {
+	boot   *schema.Boot
+	run    uint64
+	clock  clockwork.Clock
+	core   *Core
+	node   *loop.Loop
+	links  *links.Links
+	dbs    *databaseclient.Client
+	mu     sync.Mutex
+	tables map[string]*runner
+	// routes and tables are read on a query's path and replaced whole.
+	routes   atomic.Pointer[map[string]Route]
+	groups   atomic.Pointer[map[string]*runner]
+	sessions sync.Map // session id to *runner
+	queryID  atomic.Uint64
+	stopping atomic.Bool
+	nodes    atomic.Pointer[nodeView]
+	ctx      context.Context
+}
+
+type nodeView struct {
+	Parent string
+	Nodes  int
+	Alive  int
+}
+
+// NewProcess makes a node.
+func NewProcess(b *schema.Boot, clock clockwork.Clock) *Process {
+	run := uint64(clock.Now().UnixMicro())
+	p := &Process{boot: b, run: run, clock: clock, core: NewCore(b, run), node: loop.New(clock, lineLength),
+		dbs: databaseclient.New(), tables: map[string]*runner{}}
+	p.routes.Store(&map[string]Route{})
+	p.groups.Store(&map[string]*runner{})
+	p.nodes.Store(&nodeView{})
+	return p
+}
+
+// Run serves until the context ends, then drains and returns.
+func (p *Process) Run(ctx context.Context) (err error) {
+	var cl cleanup.Stack
+	defer func() { err = errors.Join(err, cl.Run()) }()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	cl.Push(func() error { stop(); return nil })
+	p.ctx = work
+	p.links = links.New(work, p.boot.Listen, func(e *schema.Envelope) { p.node.Offer(e) })
+	ln, err := net.Listen("tcp", p.boot.Listen)
+	if err != nil {
+		return err
+	}
+	hl, err := net.Listen("tcp", p.boot.Http)
+	if err != nil {
+		return errors.Join(err, ln.Close())
+	}
+	hs := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
+	cl.Push(hs.Close)
+	failed := make(chan error, 2)
+	go func() { failed <- p.links.Serve(ln) }()
+	go func() { failed <- hs.Serve(hl) }()
+	go p.node.Run(work, nodeTick, p.step)
+	log.WithFields(log.Fields{"name": p.boot.Name, "listen": p.boot.Listen, "http": p.boot.Http}).Info("stoneford-pool is up")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	p.drain()
+	return nil
+}
+
+// drain stops taking work, gives open transactions their grace, and returns
+// once nothing is under way.
+func (p *Process) drain() {
+	p.stopping.Store(true)
+	p.node.Post(Stop{})
+	for _, r := range *p.groups.Load() {
+		r.l.Post(querytable.Stop{GraceUs: graceUs})
+	}
+	end := p.clock.After((graceUs + 500_000) * time.Microsecond)
+	t := p.clock.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		busy := int64(0)
+		for _, r := range *p.groups.Load() {
+			busy += r.busy.Load()
+		}
+		// At least a moment is given for callers to hear of it.
+		if busy == 0 && n > 10 {
+			return
+		}
+		select {
+		case <-end:
+			return
+		case <-t.Chan():
+		}
+	}
+}
+
+func (p *Process) step(now int64, evs []any) {
+	fx := p.core.Step(now, evs...)
+	for _, s := range fx.Send {
+		p.links.Send(s.To, s.Env)
+	}
+	for _, d := range fx.Do {
+		switch d := d.(type) {
+		case Want:
+			p.want(d)
+		case Routes:
+			p.routes.Store(&d.Routes)
+		case Say:
+			say(d.Code, d.Text)
+		}
+	}
+	ns := p.core.Nodes()
+	v := nodeView{Parent: p.core.Parent(), Nodes: len(ns)}
+	for _, n := range ns {
+		if n.Alive {
+			v.Alive++
+		}
+	}
+	if v != *p.nodes.Load() {
+		p.nodes.Store(&v)
+	}
+}
+
+func say(c result.Code, text string) {
+	log.WithFields(log.Fields{"code": int(c), "what": text}).Info(c.String())
+}
+
+func (p *Process) want(w Want) {
+	r := p.tables[w.Group]
+	if r == nil {
+		r = &runner{p: p, group: w.Group, l: loop.New(p.clock, lineLength), t: querytable.New(seed())}
+		p.tables[w.Group] = r
+		m := make(map[string]*runner, len(p.tables))
+		for k, v := range p.tables {
+			m[k] = v
+		}
+		p.groups.Store(&m)
+		go r.l.Run(p.ctx, tableTick, r.step)
+		if p.stopping.Load() {
+			r.l.Post(querytable.Stop{GraceUs: graceUs})
+		}
+	}
+	r.l.Post(querytable.Boot{Wanted: w.Wanted})
+}
+
+func seed() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// runner is one group's table on its own thread.
+type runner struct {
+	p       *Process
+	group   string
+	l       *loop.Loop
+	t       *querytable.Table
+	waiters sync.Map // query id to chan querytable.Return
+	busy    atomic.Int64
+	counts  atomic.Pointer[tableView]
+	nextUs  int64
+}
+
+type tableView struct {
+	Counts   querytable.Counts
+	Sessions int
+	Queries  int
+	Conns    map[string]int
+	Views    []querytable.View
+}
+
+func (r *runner) step(now int64, evs []any) {
+	for _, f := range r.t.Step(now, evs...) {
+		switch f := f.(type) {
+		case querytable.Return:
+			if ch, ok := r.waiters.LoadAndDelete(f.ID); ok {
+				ch.(chan querytable.Return) <- f
+			}
+		case querytable.OpenConnection:
+			go r.open(f)
+		case querytable.CloseConnection:
+			go r.close(f)
+		case querytable.Run:
+			go r.run(f, now)
+		case querytable.Poll:
+			go r.poll(f)
+		case querytable.Say:
+			say(f.Code, f.Text)
+		}
+	}
+	s, q, conns := r.t.Gauges()
+	r.busy.Store(int64(q + r.t.OpenTransactions()))
+	if now >= r.nextUs {
+		r.nextUs = now + viewEvery
+		vs := r.t.Views(now)
+		r.counts.Store(&tableView{Counts: r.t.Counts(), Sessions: s, Queries: q, Conns: conns, Views: vs})
+		r.p.node.Offer(TableSaid{Group: r.group, Views: vs, InUse: conns})
+	}
+}
+
+func (r *runner) open(f querytable.OpenConnection) {
+	ctx, stop := context.WithTimeout(r.p.ctx, connectTime)
+	defer stop()
+	id, err := r.p.dbs.Open(ctx, f.Address, r.p.boot.Name, r.p.run)
+	r.l.Post(querytable.Opened{Conn: f.Conn, Address: f.Address, ID: id, Err: errText(err)})
+}
+
+func (r *runner) close(f querytable.CloseConnection) {
+	ctx, stop := context.WithTimeout(r.p.ctx, connectTime)
+	defer stop()
+	if err := r.p.dbs.Close(ctx, f.Address, f.ID); err != nil {
+		log.WithFields(log.Fields{"address": f.Address}).WithError(err).Debug("closing a connection")
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (r *runner) run(f querytable.Run, now int64) {
+	ctx, stop := context.WithTimeout(r.p.ctx, time.Duration(f.UntilUs-now)*time.Microsecond)
+	defer stop()
+	ops := make([]databaseclient.Op, len(f.Ops))
+	for i, o := range f.Ops {
+		ops[i] = databaseclient.Op(o)
+	}
+	out, err := r.p.dbs.Run(ctx, f.Address, f.ID, f.Epoch, f.ReadOnly, ops)
+	e := querytable.Ran{Run: f.Run, Err: errText(err), Left: err != nil && !errors.Is(err, databaseclient.ErrNeverLeft),
+		Refused: out.Refused, Epoch: out.Epoch, Applied: out.Applied}
+	for _, s := range out.Results {
+		e.Results = append(e.Results, querytable.Result(s))
+	}
+	r.l.Post(e)
+}
+
+func (r *runner) poll(f querytable.Poll) {
+	ctx, stop := context.WithTimeout(r.p.ctx, time.Duration(f.WaitUs)*time.Microsecond+pollExtra)
+	defer stop()
+	s, err := r.p.dbs.Poll(ctx, f.Address, f.Received, f.Applied, f.WaitUs)
+	r.l.Post(querytable.Polled{Poll: f.Poll, Err: errText(err), Status: querytable.Status{Identity: s.Identity, Role: s.Role,
+		Epoch: s.Epoch, LogEpoch: s.LogEpoch, Received: s.Received, Applied: s.Applied, Leaving: s.Leaving}})
+}
+
+// ask puts an event with the query's id in line and waits for its return. The
+// table ends every query by its expiry, so this ends too.
+func (r *runner) ask(id uint64, e any) querytable.Return {
+	ch := make(chan querytable.Return, 1)
+	r.waiters.Store(id, ch)
+	r.l.Post(e)
+	select {
+	case v := <-ch:
+		return v
+	case <-r.p.ctx.Done():
+		return querytable.Return{ID: id, Code: result.ReturnLost, Outcome: result.Uncertain, Text: "the node stopped"}
+	}
+}
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -333,3 +333,14 @@
 	}
 	return vs
 }
+
+// OpenTransactions is how many sessions hold a connection.
+func (t *Table) OpenTransactions() int {
+	n := 0
+	for _, s := range t.sessions {
+		if s.conn != 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,85 @@
+// Package roster reads from the mergeable records who is in the fleet and who
+// of them counts as alive (design 4).
+package roster
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/neighbours"
+	"stoneford/records"
+	"stoneford/schema"
+)
+
+// Keys of the records.
+const (
+	NodePrefix    = "node/"
+	SuspectPrefix = "suspect/"
+	ReportPrefix  = "report/"
+	AppliedPrefix = "applied/"
+	// After is the first key behind all of a prefix's.
+	nodeUntil    = "node0"
+	suspectUntil = "suspect0"
+)
+
+// goneAfter is when a node whose record was not renewed drops out.
+const goneAfter = 8_000_000
+
+// Node is one process of the fleet.
+type Node struct {
+	Address string
+	*schema.NodeRecord
+	Alive bool
+}
+
+// Ranges are the ranges of keys every node keeps, as pairs.
+func Ranges() [][2]string {
+	return [][2]string{{NodePrefix, nodeUntil}, {SuspectPrefix, suspectUntil}}
+}
+
+// SuspectKey is where a watcher writes what it holds of a node.
+func SuspectKey(node, watcher string) string { return SuspectPrefix + node + "/" + watcher }
+
+// Read returns all nodes, in order of their addresses.
+func Read(now int64, s *records.Store) []Node {
+	var ns []Node
+	var all []string
+	s.Each(NodePrefix, func(r *schema.Record) {
+		d := &schema.NodeRecord{}
+		if proto.Unmarshal(r.Data, d) != nil || s.AgeUs(now, r.Key) > goneAfter {
+			return
+		}
+		a := strings.TrimPrefix(r.Key, NodePrefix)
+		ns = append(ns, Node{Address: a, NodeRecord: d})
+		all = append(all, a)
+	})
+	for i, n := range ns {
+		ns[i].Alive = !n.Leaving && !neighbours.Confirmed(n.Address, all, func(w string) bool {
+			r := s.Get(SuspectKey(n.Address, w))
+			d := &schema.SuspectRecord{}
+			return r != nil && proto.Unmarshal(r.Data, d) == nil && d.Suspected && d.Run == n.Run
+		})
+	}
+	return ns
+}
+
+// Addresses returns the nodes' addresses.
+func Addresses(ns []Node) []string {
+	as := make([]string, len(ns))
+	for i, n := range ns {
+		as[i] = n.Address
+	}
+	return as
+}
+
+// Live returns the addresses of those that count as alive.
+func Live(ns []Node) []string {
+	var as []string
+	for _, n := range ns {
+		if n.Alive {
+			as = append(as, n.Address)
+		}
+	}
+	return as
+}
--- a/standin/databasecopy/copy.go
+++ b/standin/databasecopy/copy.go
@@ -70,6 +70,8 @@
 }
 
 type conn struct {
+	owner    string
+	usedUs   int64
 	values   map[string]string
 	prepared map[string]string
 	open     bool
@@ -86,12 +88,13 @@
 	applied int64
 	rows    map[string]map[string]int64
 	conns   map[int64]*conn
+	runs    map[string]uint64 // newest run of each owner
 	nextID  int64
 }
 
 // New makes a copy; an initial primary is told so by Promote.
 func New(name, identity string, limit int) *Copy {
-	return &Copy{Name: name, Limit: limit, Kept: Kept{Identity: identity}, rows: map[string]map[string]int64{}, conns: map[int64]*conn{}}
+	return &Copy{Name: name, Limit: limit, Kept: Kept{Identity: identity}, rows: map[string]map[string]int64{}, conns: map[int64]*conn{}, runs: map[string]uint64{}}
 }
 
 // Restore takes what was kept on disk; all of it is applied.
@@ -245,13 +248,27 @@
 	r[w.Key] += w.Add
 }
 
-// Open makes a connection, within the limit.
-func (c *Copy) Open() (int64, bool) {
+// idleClose is how long an unused connection stays open.
+const idleClose = 12_000_000
+
+// Open makes a connection, within the limit. A new run of an owner ends the
+// connections of its earlier run; nothing of an older run is opened.
+func (c *Copy) Open(owner string, run uint64, atUs int64) (int64, bool) {
+	if run < c.runs[owner] {
+		return 0, false
+	}
+	if run > c.runs[owner] {
+		c.runs[owner] = run
+		maps.DeleteFunc(c.conns, func(_ int64, n *conn) bool { return n.owner == owner })
+	}
+	if len(c.conns) >= c.Limit {
+		maps.DeleteFunc(c.conns, func(_ int64, n *conn) bool { return atUs-n.usedUs > idleClose })
+	}
 	if len(c.conns) >= c.Limit {
 		return 0, false
 	}
 	c.nextID++
-	c.conns[c.nextID] = &conn{values: map[string]string{}, prepared: map[string]string{}}
+	c.conns[c.nextID] = &conn{owner: owner, usedUs: atUs, values: map[string]string{}, prepared: map[string]string{}}
 	return c.nextID, true
 }
 
@@ -274,6 +291,7 @@
 	if n == nil {
 		return nil, RefusedConnection
 	}
+	n.usedUs = atUs
 	if epoch != c.Epoch {
 		return nil, RefusedEpoch
 	}
@@ -293,7 +311,7 @@
 func (c *Copy) op(n *conn, o Op, readOnly bool, atUs int64) Result {
 	switch o.Op {
 	case "reset":
-		*n = conn{values: map[string]string{}, prepared: map[string]string{}}
+		*n = conn{owner: n.owner, usedUs: n.usedUs, values: map[string]string{}, prepared: map[string]string{}}
 	case "set":
 		maps.Copy(n.values, o.Values)
 	case "prepare":
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -227,8 +227,16 @@
 }
 
 func (s *Server) open(w http.ResponseWriter, r *http.Request) {
+	var a struct {
+		Owner string `json:"owner"`
+		Run   uint64 `json:"run"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
-	id, ok := s.c.Open()
+	id, ok := s.c.Open(a.Owner, a.Run, nowUs())
 	s.mu.Unlock()
 	if !ok {
 		http.Error(w, "connection limit reached", http.StatusServiceUnavailable)
--- /dev/null
+++ b/takeover/takeover.go
@@ -0,0 +1,402 @@
+// Package takeover decides who is a group's primary, in which epoch (design 8).
+//
+// The order is: agree that an epoch is opened; seal a majority of members at
+// it, so that nothing of an older epoch can be acknowledged any more; agree on
+// the furthest of the sealed as the primary; ask the platform, again and again,
+// until the primary is seen. Every acknowledged commit was held by a majority
+// of members in its epoch, and any two majorities share a member, so the
+// furthest of a sealed majority holds all of them.
+package takeover
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/result"
+	"stoneford/schema"
+)
+
+const (
+	pollEvery     = 200_000
+	askExpiry     = 1_500_000
+	suspectAfter  = 700_000   // the primary answered none of the holder's polls so long
+	aloneAfter    = 2_000_000 // the same where no pool node reports at all
+	sealEvery     = 150_000
+	thirdGrace    = 300_000 // a third copy that answers is waited for so long
+	platformEvery = 400_000
+	sayEvery      = 5_000_000
+)
+
+// Status is what a database says of itself.
+type Status struct {
+	Identity  string
+	Role      string
+	Epoch     uint64
+	LogEpoch  uint64
+	Received  int64
+	Applied   int64
+	Following string
+	Leaving   bool
+}
+
+// Place is one member's place as configured.
+type Place struct{ Name, Address string }
+
+// Report sums what pool nodes say of one database lately.
+type Report struct{ Reach, Miss int }
+
+// Input is what a step is told beside the time.
+type Input struct {
+	Places  []Place
+	First   string // the configured first primary
+	State   *schema.GroupState
+	Rev     uint64
+	Known   bool // State and Rev are the newest known agreed ones
+	Acts    bool // this process holds the group's duty
+	Reports map[string]Report
+}
+
+// Effects.
+type (
+	// Ask puts a question to a database: its status, or to seal.
+	Ask struct {
+		ID      uint64
+		Address string
+		Seal    uint64 // epoch, 0 for a status
+	}
+	// Put asks for a new revision of the group's register.
+	Put struct {
+		Base uint64
+		Data []byte
+	}
+	// Platform asks the platform to carry a takeover out.
+	Platform struct {
+		Target  string
+		Epoch   uint64
+		Members []Place
+	}
+	// Say is for the log.
+	Say struct {
+		Code result.Code
+		Text string
+	}
+)
+
+type member struct {
+	status  Status
+	known   bool
+	start   int64 // of the newest good poll
+	okAt    int64
+	failing int64
+	next    int64
+	asking  uint64
+	fresh   string // an identity not agreed yet
+	since   int64  // when it was first seen
+}
+
+type ask struct {
+	member string
+	start  int64
+	seal   uint64
+}
+
+// Group decides for one group.
+type Group struct {
+	m        map[string]*member
+	asks     map[uint64]ask
+	next     uint64
+	sealed   map[string]Status
+	sealFor  uint64
+	sealAt   int64 // when a majority was first sealed
+	nextSeal int64
+	nextPlat int64
+	nextSay  int64
+	putting  int64
+	acted    bool
+	began    int64
+	fx       []any
+}
+
+// New makes a group's decider.
+func New() *Group { return &Group{m: map[string]*member{}, asks: map[uint64]ask{}} }
+
+// Said takes a database's answer.
+func (g *Group) Said(now int64, id uint64, err bool, s Status) {
+	a, ok := g.asks[id]
+	delete(g.asks, id)
+	m := g.m[a.member]
+	if !ok || m == nil {
+		return
+	}
+	if m.asking == id {
+		m.asking = 0
+	}
+	if err {
+		if m.failing == 0 {
+			m.failing = a.start
+		}
+		return
+	}
+	if a.start < m.start {
+		return
+	}
+	m.failing, m.okAt, m.start, m.status, m.known = 0, now, a.start, s, true
+	if a.seal > 0 && a.seal == g.sealFor && s.Epoch == a.seal && s.Role == "sealed" {
+		g.sealed[a.member] = s
+	}
+}
+
+// PutDone tells that a Put has ended, however.
+func (g *Group) PutDone() { g.putting = 0 }
+
+// Step does what is due.
+func (g *Group) Step(now int64, in Input) []any {
+	g.fx = nil
+	if !in.Acts || !in.Known {
+		g.acted = false
+		return nil
+	}
+	if !g.acted {
+		// What was known before another held the duty is too old to act on.
+		*g = Group{m: map[string]*member{}, asks: map[uint64]ask{}, next: g.next, acted: true, began: now, putting: g.putting}
+	}
+	for _, p := range in.Places {
+		if g.m[p.Name] == nil {
+			g.m[p.Name] = &member{}
+		}
+	}
+	for _, p := range in.Places {
+		if m := g.m[p.Name]; now >= m.next && m.asking == 0 {
+			m.next = now + pollEvery
+			m.asking = g.ask(now, p, 0)
+		}
+	}
+	if g.putting > 0 && now-g.putting < 4_000_000 {
+		return g.fx
+	}
+	switch st := in.State; {
+	case in.Rev == 0:
+		g.found(now, in)
+	case st.Phase == schema.Phase_SEALING:
+		g.seal(now, in)
+	default:
+		g.keep(now, in)
+	}
+	return g.fx
+}
+
+func (g *Group) ask(now int64, p Place, seal uint64) uint64 {
+	g.next++
+	g.asks[g.next] = ask{member: p.Name, start: now, seal: seal}
+	g.fx = append(g.fx, Ask{ID: g.next, Address: p.Address, Seal: seal})
+	return g.next
+}
+
+func (g *Group) put(now int64, base uint64, s *schema.GroupState) {
+	b, err := proto.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	g.putting = now
+	g.fx = append(g.fx, Put{Base: base, Data: b})
+}
+
+func (g *Group) say(c result.Code, f string, a ...any) {
+	g.fx = append(g.fx, Say{Code: c, Text: fmt.Sprintf(f, a...)})
+}
+
+// found makes the group's first state, once all members are seen: with empty
+// copies the configured primary begins epoch 1; copies that hold something are
+// sealed first, all of them, and the furthest is chosen.
+func (g *Group) found(now int64, in Input) {
+	s := &schema.GroupState{Epoch: 1, Phase: schema.Phase_PROMOTING, Primary: in.First, Cause: "first"}
+	for _, p := range in.Places {
+		m := g.m[p.Name]
+		if !m.known {
+			return
+		}
+		s.Members = append(s.Members, &schema.Member{Database: p.Name, Identity: m.status.Identity})
+		if m.status.Epoch > 0 || m.status.Received > 0 {
+			s.Epoch, s.Phase, s.Primary = max(s.Epoch, m.status.Epoch+1), schema.Phase_SEALING, ""
+		}
+	}
+	g.put(now, 0, s)
+}
+
+// keep looks after a group that has a primary.
+func (g *Group) keep(now int64, in Input) {
+	st := in.State
+	p := g.m[st.Primary]
+	if p == nil {
+		g.open(now, in, "the primary is no longer configured")
+		return
+	}
+	if why := g.suspect(now, in, p); why != "" {
+		g.open(now, in, why)
+		return
+	}
+	if !p.known {
+		return
+	}
+	right := p.status.Epoch == st.Epoch && p.status.Role == "primary"
+	led, all := false, right
+	addr := address(in, st.Primary)
+	for _, pl := range in.Places {
+		m := g.m[pl.Name]
+		if pl.Name == st.Primary || !m.known {
+			continue
+		}
+		ok := m.status.Epoch == st.Epoch && m.status.Role == "replica" && m.status.Following == addr
+		led = led || ok && m.status.LogEpoch == st.Epoch
+		all = all && (ok || m.failing > 0 || m.status.Epoch > st.Epoch)
+	}
+	if !all && now >= g.nextPlat {
+		g.nextPlat = now + platformEvery
+		g.fx = append(g.fx, Platform{Target: st.Primary, Epoch: st.Epoch, Members: in.Places})
+	}
+	if right && led && st.Phase == schema.Phase_PROMOTING {
+		n := proto.Clone(st).(*schema.GroupState)
+		n.Phase = schema.Phase_OPEN
+		g.say(result.TakeoverSeen, "%s is the primary of epoch %d", st.Primary, st.Epoch)
+		g.put(now, in.Rev, n)
+		return
+	}
+	if right {
+		g.allowNew(now, in, p)
+	}
+}
+
+// suspect says why the primary is given up, or nothing.
+func (g *Group) suspect(now int64, in Input, p *member) string {
+	for _, m := range in.State.Members {
+		if m.Database == in.State.Primary && p.known && p.failing == 0 && p.status.Identity != m.Identity {
+			return "the primary came back on another disk"
+		}
+	}
+	since := p.failing
+	if since == 0 || now-since < suspectAfter {
+		return ""
+	}
+	switch r := in.Reports[in.State.Primary]; {
+	case r.Miss > r.Reach:
+		return fmt.Sprintf("the primary is silent; %d of %d nodes confirm it", r.Miss, r.Miss+r.Reach)
+	case r.Reach+r.Miss == 0 && now-since >= aloneAfter:
+		return "the primary is silent; no node reports on it"
+	}
+	return ""
+}
+
+func (g *Group) open(now int64, in Input, why string) {
+	n := proto.Clone(in.State).(*schema.GroupState)
+	n.Epoch, n.Phase, n.Primary, n.Cause = n.Epoch+1, schema.Phase_SEALING, "", why
+	for _, m := range g.m {
+		if m.known {
+			n.Epoch = max(n.Epoch, m.status.Epoch+1)
+		}
+	}
+	g.say(result.TakeoverOpened, "epoch %d: %s", n.Epoch, why)
+	g.put(now, in.Rev, n)
+}
+
+// seal has the members take no log below the epoch any more, and proposes the
+// furthest of a sealed majority.
+func (g *Group) seal(now int64, in Input) {
+	st := in.State
+	if g.sealFor != st.Epoch {
+		g.sealFor, g.sealed, g.sealAt, g.nextSeal = st.Epoch, map[string]Status{}, 0, 0
+	}
+	for _, p := range in.Places {
+		if m := g.m[p.Name]; m.known && m.status.Epoch > st.Epoch {
+			g.open(now, in, p.Name+" is in a later epoch")
+			return
+		}
+	}
+	if now >= g.nextSeal {
+		g.nextSeal = now + sealEvery
+		for _, p := range in.Places {
+			if _, ok := g.sealed[p.Name]; !ok {
+				g.ask(now, p, st.Epoch)
+			}
+		}
+	}
+	var best string
+	n, waits := 0, false
+	for _, m := range st.Members {
+		s, ok := g.sealed[m.Database]
+		if !ok || s.Identity != m.Identity {
+			// A copy on a disk that is not agreed holds nothing it can vouch for.
+			waits = waits || g.m[m.Database] != nil && g.m[m.Database].failing == 0
+			continue
+		}
+		n++
+		b := g.sealed[best]
+		if best == "" || s.LogEpoch > b.LogEpoch || s.LogEpoch == b.LogEpoch && (s.Received > b.Received || s.Received == b.Received && b.Leaving && !s.Leaving) {
+			best = m.Database
+		}
+	}
+	need := len(st.Members)/2 + 1
+	if st.Cause == "first" {
+		need = len(st.Members)
+	}
+	if n < need {
+		if now >= g.nextSay && now-g.began > askExpiry {
+			g.nextSay = now + sayEvery
+			g.say(result.TakeoverWaits, "epoch %d: %d of %d members sealed", st.Epoch, n, need)
+		}
+		return
+	}
+	if g.sealAt == 0 {
+		g.sealAt = now
+	}
+	if waits && now-g.sealAt < thirdGrace {
+		return
+	}
+	x := proto.Clone(st).(*schema.GroupState)
+	x.Phase, x.Primary = schema.Phase_PROMOTING, best
+	var who []string
+	for _, m := range st.Members {
+		if s, ok := g.sealed[m.Database]; ok {
+			who = append(who, fmt.Sprintf("%s at %d/%d", m.Database, s.LogEpoch, s.Received))
+		}
+	}
+	g.say(result.TakeoverChosen, "epoch %d: %s is the furthest of %s", st.Epoch, best, strings.Join(who, ", "))
+	g.put(now, in.Rev, x)
+}
+
+// allowNew lets a copy with a new disk count as a member once it holds all the
+// primary held after the new disk was first seen: whatever the lost disk
+// vouched for is then on the new one.
+func (g *Group) allowNew(now int64, in Input, p *member) {
+	for i, m := range in.State.Members {
+		c := g.m[m.Database]
+		if c == nil || !c.known || m.Database == in.State.Primary {
+			continue
+		}
+		if c.status.Identity == m.Identity {
+			c.fresh = ""
+			continue
+		}
+		if c.fresh != c.status.Identity {
+			c.fresh, c.since = c.status.Identity, now
+			continue
+		}
+		if p.start > c.since && c.failing == 0 && c.status.Epoch == in.State.Epoch && c.status.LogEpoch == in.State.Epoch && c.status.Received >= p.status.Received {
+			n := proto.Clone(in.State).(*schema.GroupState)
+			n.Members[i].Identity = c.status.Identity
+			g.say(result.MemberAdmitted, "%s at %d", m.Database, c.status.Received)
+			g.put(now, in.Rev, n)
+			return
+		}
+	}
+}
+
+func address(in Input, name string) string {
+	i := slices.IndexFunc(in.Places, func(p Place) bool { return p.Name == name })
+	if i < 0 {
+		return ""
+	}
+	return in.Places[i].Address
+}
