--- a/pool/callers.go
+++ b/pool/callers.go
@@ -27,6 +27,7 @@
 	RetryAfterUs int64             `json:"retry_after_us,omitempty"`
 	Token        *querytable.Token `json:"token,omitempty"`
 	Copy         string            `json:"copy,omitempty"`
+	Replica      bool              `json:"replica,omitempty"`
 	Position     int64             `json:"position,omitempty"`
 	Open         bool              `json:"open,omitempty"`
 }
@@ -200,7 +201,7 @@
 		p.sessions.Delete(session) // the table let it go after long idling
 	}
 	give(w, reply{Code: v.Code, Detail: v.Text, Outcome: v.Outcome, Session: session, Rows: v.Rows, RetryAfterUs: v.RetryAfterUs,
-		Token: lo.ToPtr(v.Token), Copy: v.Copy, Position: v.Position, Open: v.Open})
+		Token: lo.ToPtr(v.Token), Copy: v.Copy, Replica: v.Replica, Position: v.Position, Open: v.Open})
 }
 
 // ready says whether the platform may hand this node connections.
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -325,7 +325,7 @@
 			rows = append(rows, r.Rows)
 		}
 	}
-	q.ret = Return{Outcome: result.Done, Rows: rows, Copy: q.db, Position: e.Applied}
+	q.ret = Return{Outcome: result.Done, Rows: rows, Copy: q.db, Replica: q.db != t.w.Primary, Position: e.Applied}
 	ended := q.Commit || q.Rollback || c.session == ""
 	if ended {
 		c.dirty, c.session, s.conn = false, "", 0
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -210,6 +210,7 @@
 		RetryAfterUs int64
 		Token        Token
 		Copy         string
+		Replica      bool  // a replica answered
 		Position     int64 // what a read showed
 		Open         bool  // a transaction is open behind it
 	}
--- /dev/null
+++ b/standin/callers/callers.go
@@ -0,0 +1,428 @@
+// Package callers is the stand-in for apps and tills, with a checker that knows
+// the ground truth: what was acknowledged, when, and what the databases hold.
+package callers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"stoneford/querytable"
+	"stoneford/result"
+)
+
+// Load is what callers do.
+type Load struct {
+	Routes   []string // one group behind each
+	Sessions int
+	Rate     float64 // queries a second, all sessions together
+	Seed     uint64
+	Nodes    func() []string // ready nodes, as the platform hands them out
+}
+
+// reply is a pool's return.
+type reply struct {
+	Code         result.Code      `json:"code"`
+	Text         string           `json:"text"`
+	Detail       string           `json:"detail"`
+	Outcome      result.Outcome   `json:"outcome"`
+	Session      string           `json:"session"`
+	Rows         [][][]string     `json:"rows"`
+	RetryAfterUs int64            `json:"retry_after_us"`
+	Token        querytable.Token `json:"token"`
+	Copy         string           `json:"copy"`
+	Replica      bool             `json:"replica"`
+}
+
+// Kinds of queries.
+const (
+	Reservation = "reservation"
+	Transaction = "transaction"
+	Current     = "current read"
+	Lookup      = "lookup"
+	Pinned      = "pinned"
+)
+
+type write struct {
+	route string
+	tag   string
+	out   result.Outcome
+	at    int64
+}
+
+type read struct {
+	route string
+	kind  string
+	ticks int64
+	acked int64 // ticks acknowledged before it began
+	own   int64
+	ownAt int64 // own writes acknowledged before it began
+	began int64
+	at    int64 // when its return came
+	copy  string
+	node  string
+}
+
+// Sample is one query for the figures.
+type Sample struct {
+	Kind    string
+	AtUs    int64 // when it was first sent
+	TookUs  int64
+	Code    result.Code
+	Outcome result.Outcome
+	Tries   int
+	Copy    string
+
+	OnReplica bool
+}
+
+// Run is one run of the callers.
+type Run struct {
+	load    Load
+	c       *http.Client
+	began   time.Time
+	mu      sync.Mutex
+	writes  []write
+	reads   []read
+	samples []Sample
+	oddity  []string
+	ticks   map[string]*atomic.Int64
+	ackAt   map[string][]int64 // times of acknowledged writes by route
+	seq     atomic.Int64
+}
+
+// New makes a run.
+func New(l Load) *Run {
+	r := &Run{load: l, began: time.Now(), ticks: map[string]*atomic.Int64{}, ackAt: map[string][]int64{},
+		c: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+	for _, rt := range l.Routes {
+		r.ticks[rt] = &atomic.Int64{}
+	}
+	return r
+}
+
+func nowUs() int64 { return time.Now().UnixMicro() }
+
+// Go sends the load until the context ends, then waits for what is under way.
+func (r *Run) Go(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, rt := range r.load.Routes {
+		wg.Go(func() { r.tick(ctx, rt) })
+	}
+	per := time.Duration(float64(time.Second) * float64(r.load.Sessions) / r.load.Rate)
+	for i := range r.load.Sessions {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(r.load.Seed, uint64(i)))
+			s := &session{r: r, name: fmt.Sprintf("s%d-%d", r.load.Seed, i), route: r.load.Routes[i%len(r.load.Routes)], rnd: rnd}
+			next := time.Now().Add(time.Duration(rnd.Int64N(int64(per))))
+			for pause(ctx, time.Until(next)) {
+				s.one(ctx)
+				next = next.Add(time.Duration((0.5 + rnd.Float64()) * float64(per)))
+				if n := time.Now(); next.Before(n) {
+					next = n
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// tick adds one to a row over and over; how far it is tells how fresh a read is.
+func (r *Run) tick(ctx context.Context, route string) {
+	s := &session{r: r, name: "tick-" + route, route: route, rnd: rand.New(rand.NewPCG(r.load.Seed, 1<<40))}
+	for pause(ctx, 50*time.Millisecond) {
+		v, ok := s.ask(ctx, "tick", query{Class: "reserve", Statements: stmts("add ticks t 1")})
+		if ok && v.Outcome == result.Done {
+			r.ticks[route].Add(1)
+			r.mu.Lock()
+			r.ackAt[route] = append(r.ackAt[route], nowUs())
+			r.mu.Unlock()
+		}
+	}
+}
+
+func stmts(ts ...string) []querytable.Statement {
+	var ss []querytable.Statement
+	for _, t := range ts {
+		ss = append(ss, querytable.Statement{Text: t})
+	}
+	return ss
+}
+
+type query struct {
+	Query      string                 `json:"query,omitempty"`
+	Class      string                 `json:"class"`
+	ReadOnly   bool                   `json:"read_only,omitempty"`
+	Begin      bool                   `json:"begin,omitempty"`
+	Commit     bool                   `json:"commit,omitempty"`
+	Rollback   bool                   `json:"rollback,omitempty"`
+	Statements []querytable.Statement `json:"statements,omitempty"`
+	ExpiryUs   int64                  `json:"expiry_us,omitempty"`
+}
+
+type session struct {
+	r     *Run
+	name  string
+	route string
+	rnd   *rand.Rand
+	node  string
+	id    string
+	token querytable.Token
+	own   int64
+	mark  string // a session value only this session sets
+}
+
+func (s *session) post(ctx context.Context, url string, in any) (reply, error) {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return reply{}, err
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return reply{}, err
+	}
+	rs, err := s.r.c.Do(rq)
+	if err != nil {
+		return reply{}, err
+	}
+	defer rs.Body.Close()
+	var v reply
+	return v, json.NewDecoder(rs.Body).Decode(&v)
+}
+
+// open has a session on some ready node, with the token of the last one.
+func (s *session) open(ctx context.Context) bool {
+	for n := 0; ctx.Err() == nil && n < 50; n++ {
+		ns := s.r.load.Nodes()
+		if len(ns) == 0 {
+			pause(ctx, 100*time.Millisecond)
+			continue
+		}
+		s.node = ns[s.rnd.IntN(len(ns))]
+		s.mark = s.name + "/" + strconv.FormatInt(s.r.seq.Add(1), 10)
+		v, err := s.post(ctx, "http://"+s.node+"/v1/sessions", map[string]any{"route": s.route, "token": s.token,
+			"values": map[string]string{"mark": s.mark}, "prepared": map[string]string{"mine": "value mark"}})
+		if err == nil && v.Code == result.OK {
+			s.id = v.Session
+			return true
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+	return false
+}
+
+// send sends one query once. The caller that never hears back does not know.
+func (s *session) send(ctx context.Context, q query) (reply, bool) {
+	if s.id == "" && !s.open(ctx) {
+		return reply{}, false
+	}
+	// A return under way at the end of a run is still waited for.
+	v, err := s.post(context.WithoutCancel(ctx), "http://"+s.node+"/v1/sessions/"+s.id+"/queries", q)
+	if err != nil {
+		s.id = ""
+		return reply{Outcome: result.Uncertain, Code: -1, Detail: err.Error()}, true
+	}
+	if v.Token.Position > s.token.Position {
+		s.token = v.Token
+	}
+	if v.Code == result.UnknownSession || v.Code == result.Stopping {
+		s.id = ""
+	}
+	return v, true
+}
+
+// ask sends a query, coming back when told to, for as long as a person would.
+func (s *session) ask(ctx context.Context, kind string, q query) (reply, bool) {
+	t0 := nowUs()
+	for n := 1; ; n++ {
+		v, ok := s.send(ctx, q)
+		if !ok {
+			return v, false
+		}
+		again := v.Code.Bounce() || v.Code == result.UnknownSession
+		if again && nowUs()-t0 < 5_000_000 && pause(ctx, time.Duration(v.RetryAfterUs)*time.Microsecond) {
+			continue
+		}
+		s.r.mu.Lock()
+		s.r.samples = append(s.r.samples, Sample{Kind: kind, AtUs: t0, TookUs: nowUs() - t0, Code: v.Code, Outcome: v.Outcome, Tries: n, Copy: v.Copy, OnReplica: v.Replica})
+		s.r.mu.Unlock()
+		return v, true
+	}
+}
+
+// one does one thing a till or an app does.
+func (s *session) one(ctx context.Context) {
+	switch p := s.rnd.Float64(); {
+	case p < 0.35:
+		s.reserve(ctx)
+	case p < 0.50:
+		s.transaction(ctx)
+	case p < 0.55:
+		s.read(ctx, Current, query{Class: "reserve", ReadOnly: true})
+	case p < 0.85:
+		s.read(ctx, Lookup, query{Class: "lookup"})
+	default:
+		s.read(ctx, Pinned, query{Class: "pickup"})
+	}
+}
+
+func (s *session) tag() string { return "t" + strconv.FormatInt(s.r.seq.Add(1), 10) }
+
+func (s *session) wrote(tag string, o result.Outcome) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	s.r.writes = append(s.r.writes, write{route: s.route, tag: tag, out: o, at: nowUs()})
+	if o == result.Done {
+		s.r.ackAt[s.route] = append(s.r.ackAt[s.route], nowUs())
+	}
+}
+
+// reserve is a single statement. Each time it is sent again it has a new tag,
+// so that the truth can be told try by try.
+func (s *session) reserve(ctx context.Context) {
+	t0 := nowUs()
+	for n := 1; ; n++ {
+		tag := s.tag()
+		v, ok := s.send(ctx, query{Query: tag, Class: "reserve", Statements: stmts("add ledger " + tag + " 1")})
+		if !ok {
+			return
+		}
+		s.wrote(tag, v.Outcome)
+		if (v.Code.Bounce() || v.Code == result.UnknownSession) && nowUs()-t0 < 5_000_000 && pause(ctx, time.Duration(v.RetryAfterUs)*time.Microsecond) {
+			continue
+		}
+		s.sample(Reservation, t0, n, v)
+		return
+	}
+}
+
+func (s *session) sample(kind string, t0 int64, n int, v reply) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	s.r.samples = append(s.r.samples, Sample{Kind: kind, AtUs: t0, TookUs: nowUs() - t0, Code: v.Code, Outcome: v.Outcome, Tries: n, Copy: v.Copy, OnReplica: v.Replica})
+}
+
+func (s *session) odd(f string, a ...any) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	s.r.oddity = append(s.r.oddity, fmt.Sprintf(f, a...))
+}
+
+// transaction reads the ticks, takes stock and writes its tag, in several
+// queries, and looks that it runs under its own session values.
+func (s *session) transaction(ctx context.Context) {
+	t0 := nowUs()
+	for n := 1; ; n++ {
+		tag := s.tag()
+		acked := s.r.ticks[s.route].Load()
+		key := strconv.Itoa(s.rnd.IntN(50))
+		steps := []query{
+			{Class: "reserve", Begin: true, Statements: stmts("read ticks t stock "+key, "value mark")},
+			{Class: "reserve", Statements: []querytable.Statement{{Text: "add stock ? -1", Params: []string{key}}, {Prepared: "mine"}}},
+			{Class: "reserve", Commit: true, Statements: stmts("add ledger "+tag+" 1", "add own "+s.name+" 1")},
+		}
+		mark := s.mark
+		var v reply
+		ok := true
+		for i, q := range steps {
+			if v, ok = s.send(ctx, q); !ok {
+				if i > 0 {
+					s.wrote(tag, result.NothingKept)
+				}
+				return
+			}
+			if i == 0 {
+				mark = s.mark
+			}
+			if v.Outcome != result.Done {
+				break
+			}
+			switch i {
+			case 0:
+				s.gotTicks(Current, v, t0, acked, 0, 0)
+				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
+					s.odd("%s: a transaction read the session value of another: %v, not %s", s.route, v.Rows, mark)
+				}
+			case 1:
+				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
+					s.odd("%s: a prepared name ran as another's: %v, not %s", s.route, v.Rows, mark)
+				}
+			}
+		}
+		s.wrote(tag, v.Outcome)
+		if v.Outcome == result.Done {
+			s.own++
+		}
+		if (v.Code.Bounce() || v.Code == result.UnknownSession || v.Code == result.TransactionLost) && nowUs()-t0 < 5_000_000 && pause(ctx, time.Duration(v.RetryAfterUs)*time.Microsecond) {
+			continue
+		}
+		s.sample(Transaction, t0, n, v)
+		return
+	}
+}
+
+func (s *session) read(ctx context.Context, kind string, q query) {
+	q.Statements = stmts("read ticks t own " + s.name)
+	acked, own, t0 := s.r.ticks[s.route].Load(), s.own, nowUs()
+	v, ok := s.ask(ctx, kind, q)
+	if ok && v.Outcome == result.Done {
+		s.gotTicks(kind, v, t0, acked, own, t0)
+	}
+}
+
+func (s *session) gotTicks(kind string, v reply, began, acked, own, ownAt int64) {
+	if len(v.Rows) == 0 || len(v.Rows[0]) < 2 {
+		s.odd("%s: a %s returned %v", s.route, kind, v.Rows)
+		return
+	}
+	n, err1 := strconv.ParseInt(v.Rows[0][0][0], 10, 64)
+	o, err2 := strconv.ParseInt(v.Rows[0][1][0], 10, 64)
+	if err1 != nil || err2 != nil {
+		s.odd("%s: a %s returned %v", s.route, kind, v.Rows)
+		return
+	}
+	rd := read{route: s.route, kind: kind, ticks: n, acked: acked, own: o, ownAt: own, began: began, at: nowUs(), copy: v.Copy, node: s.node}
+	s.r.mu.Lock()
+	s.r.reads = append(s.r.reads, rd)
+	s.r.mu.Unlock()
+}
+
+// Samples returns all queries sent so far.
+func (r *Run) Samples() []Sample {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.samples)
+}
+
+// FirstAckAfter is when the first write on a route was acknowledged behind a
+// moment, 0 if none was.
+func (r *Run) FirstAckAfter(route string, at int64) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best int64
+	for _, t := range r.ackAt[route] {
+		if t > at && (best == 0 || t < best) {
+			best = t
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,407 @@
+// Package fleet starts a whole fleet on one machine as separate processes,
+// brings faults about on a schedule, and reports what callers saw.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"stoneford/cleanup"
+	"stoneford/control"
+	"stoneford/standin/databasecopy"
+)
+
+// Shape is a deployment's sizes.
+type Shape struct {
+	Partner     string
+	Zones       []string
+	Machines    int
+	Groups      []string
+	Connections int
+	Sessions    int
+	Rate        float64
+}
+
+// Shapes are the users' two, and a smaller one.
+var Shapes = map[string]Shape{
+	"pharmacies": {Partner: "pharmacies", Zones: []string{"cluj", "iasi", "brasov"}, Machines: 11, Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Connections: 65, Sessions: 290, Rate: 450},
+	"lender":     {Partner: "lender", Zones: []string{"north", "middle", "south"}, Machines: 10, Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Connections: 80, Sessions: 290, Rate: 450},
+	"small":      {Partner: "pharmacies", Zones: []string{"cluj", "iasi", "brasov"}, Machines: 4, Groups: []string{"inventory-1"}, Connections: 40, Sessions: 40, Rate: 80},
+}
+
+// proc is one process of the fleet.
+type proc struct {
+	name   string
+	kind   string
+	args   []string
+	folder string // its data folder, wiped when it is lost for good
+	http   string
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	wanted bool // an exit now is a fault of the schedule
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Shape  Shape
+	bin    string
+	folder string
+	procs  map[string]*proc
+	order  []string
+	addr   map[string]string // databases' addresses
+	ops    []string          // operators' addresses
+	plat   string
+	died   []string
+	mu     sync.Mutex
+	clean  cleanup.Stack
+}
+
+// Token is what the fleet's operators send.
+const Token = "operators-token"
+
+// Programs a fleet is made of.
+var programs = []string{"./cmd/stoneford-pool", "./cmd/stoneford-control", "./standin/standin-database", "./standin/standin-platform"}
+
+// Build builds the programs into a folder, from the module's root.
+func Build(ctx context.Context, root, bin string) error {
+	c := exec.CommandContext(ctx, "go", append([]string{"build", "-o", bin + "/"}, programs...)...)
+	c.Dir = root
+	out, err := c.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("go build: %w\n%s", err, out)
+	}
+	return nil
+}
+
+// ports finds n free ports on the loopback address.
+func ports(n int) ([]string, error) {
+	var ls []net.Listener
+	var as []string
+	defer func() {
+		for _, l := range ls {
+			l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		ls, as = append(ls, l), append(as, l.Addr().String())
+	}
+	return as, nil
+}
+
+// New lays a fleet out; nothing runs yet.
+func New(s Shape, bin, folder string) (*Fleet, error) {
+	f := &Fleet{Shape: s, bin: bin, folder: folder, procs: map[string]*proc{}, addr: map[string]string{}}
+	dbs := 3 * len(s.Groups)
+	ps, err := ports(1 + 2*3 + 2*s.Machines + dbs)
+	if err != nil {
+		return nil, err
+	}
+	take := func() string { p := ps[0]; ps = ps[1:]; return p }
+	f.plat = take()
+	var seeds, nodes []string
+	for range 3 {
+		seeds = append(seeds, take())
+	}
+	for _, g := range s.Groups {
+		for i := range 3 {
+			n := fmt.Sprintf("%s-%c", g, 'a'+i)
+			f.addr[n] = take()
+			d := filepath.Join(folder, n)
+			f.add(&proc{name: n, kind: "standin-database", folder: d, http: f.addr[n],
+				args: []string{"--name", n, "--listen", f.addr[n], "--folder", d, "--connections", fmt.Sprint(s.Connections)}})
+		}
+	}
+	for i := range 3 {
+		n := fmt.Sprintf("control-%d", i+1)
+		h := take()
+		f.ops = append(f.ops, h)
+		d := filepath.Join(folder, n)
+		f.boot(n, "stoneford-control", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": seeds[i], "http": h,
+			"seeds": seeds, "data_folder": d, "platform": f.plat, "tokens": map[string]string{s.Partner: Token}})
+	}
+	for i := range s.Machines {
+		n := fmt.Sprintf("pool-%d", i+1)
+		l, h := take(), take()
+		nodes = append(nodes, h)
+		f.boot(n, "stoneford-pool", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": l, "http": h, "seeds": seeds})
+	}
+	f.add(&proc{name: "platform", kind: "standin-platform", http: f.plat, args: []string{"--listen", f.plat, "--nodes", strings.Join(nodes, ",")}})
+	return f, nil
+}
+
+func (f *Fleet) add(p *proc) { f.procs[p.name] = p; f.order = append(f.order, p.name) }
+
+func (f *Fleet) boot(name, kind string, m map[string]any) {
+	b, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	p := filepath.Join(f.folder, name+".json")
+	if err := os.WriteFile(p, b, 0o644); err != nil {
+		panic(err)
+	}
+	d, _ := m["data_folder"].(string)
+	f.add(&proc{name: name, kind: kind, folder: d, http: m["http"].(string), args: []string{"--boot", p}})
+}
+
+// Settings is the shape's configuration.
+func (f *Fleet) Settings() map[string]any {
+	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
+	for i, g := range f.Shape.Groups {
+		var ms []string
+		for j := range 3 {
+			n := fmt.Sprintf("%s-%c", g, 'a'+j)
+			ms = append(ms, n)
+			dbs[n] = map[string]any{"address": f.addr[n], "zone": f.Shape.Zones[(i+j)%3], "connections": f.Shape.Connections}
+		}
+		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
+		rs[g] = map[string]any{"group": g, "classes": []string{"reserve", "lookup", "pickup"}}
+	}
+	return map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
+		"reserve": map[string]any{"kind": "current"},
+		"lookup":  map[string]any{"kind": "stale", "stale_us": 1_500_000},
+		"pickup":  map[string]any{"kind": "pinned", "stale_us": 2_500_000},
+	}}
+}
+
+// Routes are the shape's routes.
+func (f *Fleet) Routes() []string {
+	var rs []string
+	for _, g := range f.Shape.Groups {
+		rs = append(rs, f.Shape.Partner+"/"+g)
+	}
+	return rs
+}
+
+func (f *Fleet) start(p *proc) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lf, err := os.OpenFile(filepath.Join(f.folder, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	c := exec.Command(filepath.Join(f.bin, p.kind), p.args...)
+	c.Stdout, c.Stderr = lf, lf
+	if err := c.Start(); err != nil {
+		lf.Close()
+		return err
+	}
+	p.cmd, p.done, p.wanted = c, make(chan struct{}), false
+	done := p.done
+	go func() {
+		err := c.Wait()
+		lf.Close()
+		p.mu.Lock()
+		if !p.wanted {
+			f.mu.Lock()
+			f.died = append(f.died, fmt.Sprintf("%s ended by itself: %v (see its log)", p.name, err))
+			f.mu.Unlock()
+		}
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *proc) signal(s syscall.Signal, ends bool) {
+	p.mu.Lock()
+	c, done := p.cmd, p.done
+	if c != nil {
+		p.wanted = p.wanted || ends
+		_ = c.Process.Signal(s)
+		if ends {
+			_ = c.Process.Signal(syscall.SIGCONT)
+		}
+	}
+	p.mu.Unlock()
+	if c != nil && ends {
+		<-done
+	}
+}
+
+// Start starts every process and puts the configuration in force.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.clean.Push(func() error {
+		for _, n := range f.order {
+			f.procs[n].signal(syscall.SIGKILL, true)
+		}
+		return nil
+	})
+	for _, n := range f.order {
+		if err := f.start(f.procs[n]); err != nil {
+			return err
+		}
+	}
+	err := until(ctx, 30*time.Second, func() error {
+		r, err := f.Operate(ctx, 0, http.MethodPut, "/v1/settings", map[string]any{"based_on": 0, "settings": f.Settings()})
+		if err != nil {
+			return err
+		}
+		if r.Revision != 1 {
+			return fmt.Errorf("the configuration was not taken: %d %s %v", r.Code, r.Text, r.Problems)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return until(ctx, 30*time.Second, func() error {
+		if n := len(f.Nodes()); n < f.Shape.Machines {
+			return fmt.Errorf("%d of %d nodes are ready", n, f.Shape.Machines)
+		}
+		return nil
+	})
+}
+
+// until tries f again until it does not fail or the time is over.
+func until(ctx context.Context, most time.Duration, f func() error) error {
+	end := time.Now().Add(most)
+	for {
+		err := f()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		t := time.NewTimer(50 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(err, ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+// Operate puts an operator's query to the i-th control process.
+func (f *Fleet) Operate(ctx context.Context, i int, method, path string, in any) (control.Reply, error) {
+	var r control.Reply
+	return r, f.operate(ctx, i, method, path, in, &r)
+}
+
+func (f *Fleet) operate(ctx context.Context, i int, method, path string, in, out any) error {
+	ctx, stop := context.WithTimeout(ctx, 6*time.Second)
+	defer stop()
+	b, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+f.ops[i]+path, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	rq.Header.Set("Authorization", "Bearer "+Token)
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	return json.NewDecoder(rs.Body).Decode(out)
+}
+
+// Status is what some control process knows of the fleet.
+func (f *Fleet) Status(ctx context.Context) (control.Status, error) {
+	var s control.Status
+	var err error
+	for i := range f.ops {
+		if err = f.operate(ctx, i, http.MethodGet, "/v1/status", nil, &s); err == nil && len(s.Groups) > 0 {
+			return s, nil
+		}
+	}
+	return s, err
+}
+
+// Nodes are the ready pool nodes, as the platform hands them out.
+func (f *Fleet) Nodes() []string {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + f.plat + "/v1/nodes")
+	if err != nil {
+		return nil
+	}
+	defer r.Body.Close()
+	var ns []string
+	if json.NewDecoder(r.Body).Decode(&ns) != nil {
+		return nil
+	}
+	return ns
+}
+
+// Primary is a group's primary now.
+func (f *Fleet) Primary(ctx context.Context, group string) string {
+	s, err := f.Status(ctx)
+	if err != nil {
+		return ""
+	}
+	i := slices.IndexFunc(s.Groups, func(g control.GroupStatus) bool { return g.Name == f.Shape.Partner+"/"+group })
+	if i < 0 {
+		return ""
+	}
+	return s.Groups[i].Primary
+}
+
+// Logs reads what each group's primary holds, from the copies themselves: the
+// furthest log in the latest epoch.
+func (f *Fleet) Logs(ctx context.Context) (map[string][]databasecopy.LogEntry, error) {
+	out := map[string][]databasecopy.LogEntry{}
+	for _, g := range f.Shape.Groups {
+		err := until(ctx, 20*time.Second, func() error {
+			p := f.Primary(ctx, g)
+			if p == "" {
+				return fmt.Errorf("%s has no primary", g)
+			}
+			r, err := http.Get("http://" + f.addr[p] + "/truth/log")
+			if err != nil {
+				return err
+			}
+			defer r.Body.Close()
+			b, err := io.ReadAll(r.Body)
+			if err != nil {
+				return err
+			}
+			var es []databasecopy.LogEntry
+			out[f.Shape.Partner+"/"+g] = es
+			if err := json.Unmarshal(b, &es); err != nil {
+				return err
+			}
+			out[f.Shape.Partner+"/"+g] = es
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// Died tells which processes ended by themselves.
+func (f *Fleet) Died() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.died)
+}
+
+// Close ends every process.
+func (f *Fleet) Close() error { return f.clean.Run() }
+
+// Describe prints how the fleet can be reached.
+func (f *Fleet) Describe(w io.Writer) {
+	fmt.Fprintf(w, "control (operators): %s\ntoken: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
+		strings.Join(f.ops, " "), Token, strings.Join(f.Nodes(), " "), strings.Join(f.Routes(), " "), f.folder)
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,155 @@
+// Package platform is the stand-in for the users' platform: it hands out ready
+// nodes and carries takeovers out.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"stoneford/databaseclient"
+	"stoneford/standin/databasecopy"
+)
+
+// Server is the platform's HTTP side.
+type Server struct {
+	mu     sync.Mutex
+	nodes  []string          // callers' addresses of all pool nodes
+	ready  []string          // of those that are ready
+	epochs map[string]uint64 // highest epoch asked for, by group
+	target map[string]string
+}
+
+// New makes a platform over nodes.
+func New(nodes []string) *Server {
+	return &Server{nodes: slices.Clone(nodes), epochs: map[string]uint64{}, target: map[string]string{}}
+}
+
+type takeover struct {
+	Group   string                  `json:"group"`
+	Target  string                  `json:"target"`
+	Epoch   uint64                  `json:"epoch"`
+	Members []databaseclient.Member `json:"members"`
+}
+
+// Serve answers until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/takeover", s.takeover)
+	m.HandleFunc("GET /v1/nodes", func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		json.NewEncoder(w).Encode(s.ready)
+	})
+	m.HandleFunc("PUT /v1/nodes", func(w http.ResponseWriter, r *http.Request) {
+		var ns []string
+		if err := json.NewDecoder(r.Body).Decode(&ns); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.mu.Lock()
+		s.nodes = ns
+		s.mu.Unlock()
+		json.NewEncoder(w).Encode(ns)
+	})
+	hs := &http.Server{Handler: m}
+	go s.look(ctx)
+	go func() { <-ctx.Done(); hs.Close() }()
+	if err := hs.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// look asks every node whether it is ready.
+func (s *Server) look(ctx context.Context) {
+	c := &http.Client{Timeout: 300 * time.Millisecond}
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		ns := slices.Clone(s.nodes)
+		s.mu.Unlock()
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		ok := []string{}
+		for _, n := range ns {
+			wg.Go(func() {
+				r, err := c.Get("http://" + n + "/v1/ready")
+				if err != nil {
+					return
+				}
+				r.Body.Close()
+				if r.StatusCode == http.StatusOK {
+					mu.Lock()
+					ok = append(ok, n)
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		slices.Sort(ok)
+		s.mu.Lock()
+		s.ready = ok
+		s.mu.Unlock()
+		t := time.NewTimer(200 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// takeover promotes the target and has the others follow it. It is idempotent
+// and refuses an epoch below the highest asked for, or another target in it.
+func (s *Server) takeover(w http.ResponseWriter, r *http.Request) {
+	var t takeover
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	refuse := func(why string) {
+		w.WriteHeader(http.StatusConflict)
+		json.NewEncoder(w).Encode(map[string]string{"error": why})
+	}
+	s.mu.Lock()
+	e, o := s.epochs[t.Group], s.target[t.Group]
+	if t.Epoch > e {
+		s.epochs[t.Group], s.target[t.Group] = t.Epoch, t.Target
+	}
+	s.mu.Unlock()
+	if t.Epoch < e {
+		refuse("a later epoch was asked for")
+		return
+	}
+	if t.Epoch == e && o != t.Target {
+		refuse("another target was asked for in this epoch")
+		return
+	}
+	i := slices.IndexFunc(t.Members, func(m databaseclient.Member) bool { return m.Name == t.Target })
+	if i < 0 {
+		refuse("the target is not among the members")
+		return
+	}
+	ctx, stop := context.WithTimeout(r.Context(), time.Second)
+	defer stop()
+	addr := t.Members[i].Address
+	if err := databasecopy.Call(ctx, "http://"+addr+"/v1/promote", map[string]any{"epoch": t.Epoch}, nil); err != nil {
+		refuse(err.Error())
+		return
+	}
+	var wg sync.WaitGroup
+	for _, m := range t.Members {
+		if m.Name != t.Target {
+			// One that is away is told when it is asked for again.
+			wg.Go(func() {
+				_ = databasecopy.Call(ctx, "http://"+m.Address+"/v1/follow", map[string]any{"epoch": t.Epoch, "primary": addr}, nil)
+			})
+		}
+	}
+	wg.Wait()
+	json.NewEncoder(w).Encode(struct{}{})
+}
