--- /dev/null
+++ b/ballots/ballots_test.go
@@ -0,0 +1,253 @@
+package ballots_test
+
+import (
+	"fmt"
+	"testing"
+
+	"stoneford/ballots"
+	"stoneford/schema"
+	"stoneford/simulation"
+)
+
+// planted is a fault put into the harness around the cores, to show that the
+// checks see it.
+type planted int
+
+const (
+	none planted = iota
+	unsyncedPromise
+	emptyDiskVotes
+	ackBeforeMajority
+)
+
+// cluster is three voters, each with a proposer of its own, under kills, lost
+// disks, cuts, losses and doubles.
+type cluster struct {
+	t        *testing.T
+	w        *simulation.World
+	n        *simulation.Network
+	plant    planted
+	addrs    []string
+	voters   map[string]*ballots.Voter
+	props    map[string]*ballots.Proposer
+	disk     map[string][]*schema.VoterLog
+	up       map[string]bool
+	runs     int
+	gen      map[string]int // life of the process, so that old ticks stop
+	chosen   map[string]map[uint64]string
+	agreedAt map[string]uint64 // newest revision known agreed, by key
+	began    map[string]uint64 // by change: newest revision agreed when it began
+	history  map[string][]string
+	changes  int
+	agreed   int
+	reads    int
+	fail     string
+}
+
+func (c *cluster) bad(f string, a ...any) {
+	if c.fail == "" {
+		c.fail = fmt.Sprintf(f, a...)
+	}
+}
+
+func (c *cluster) boot(a string, empty bool) {
+	c.runs++
+	c.gen[a]++
+	v := ballots.NewVoter(a, c.addrs, uint32(c.w.R.Uint32()))
+	if empty {
+		c.disk[a] = nil
+		if c.plant == emptyDiskVotes {
+			c.disk[a] = []*schema.VoterLog{{Formed: true, Standings: []*schema.Standing{{Voter: a, Generation: 1}}}}
+		}
+	}
+	for _, l := range c.disk[a] {
+		v.Restore(l)
+	}
+	vs := c.addrs
+	if c.plant == ackBeforeMajority {
+		vs = c.addrs[:1] // one voter's word is taken for a majority's
+		for _, o := range c.addrs {
+			if o == a {
+				vs = []string{a}
+			}
+		}
+	}
+	c.voters[a], c.props[a], c.up[a] = v, ballots.NewProposer(a, fmt.Sprint(c.runs), vs), true
+	g := c.gen[a]
+	var tick func()
+	tick = func() {
+		if c.gen[a] != g || !c.up[a] {
+			return
+		}
+		c.voted(a, v.Tick(c.w.Now))
+		c.proposed(a, c.props[a].Tick(c.w.Now))
+		c.w.After(20_000, tick)
+	}
+	c.w.After(0, tick)
+}
+
+func (c *cluster) voted(a string, fx ballots.Effects) {
+	if c.plant == unsyncedPromise && c.w.Chance(0.5) {
+		fx.Log = nil // said, and not on disk
+	}
+	c.disk[a] = append(c.disk[a], fx.Log...)
+	if len(c.disk[a]) > 200 && c.plant == none {
+		c.disk[a] = []*schema.VoterLog{c.voters[a].Snapshot()}
+	}
+	for _, s := range fx.Send {
+		c.n.Send(a, s)
+	}
+}
+
+func (c *cluster) proposed(a string, fx ballots.ProposerEffects) {
+	for _, s := range fx.Send {
+		c.n.Send(a, s)
+	}
+	for _, o := range fx.Outcomes {
+		c.outcome(o)
+	}
+}
+
+func (c *cluster) outcome(o ballots.Outcome) {
+	if o.Verdict != ballots.Agreed && o.Verdict != ballots.Lost {
+		return
+	}
+	k, r := o.Change.Key, o.Value.GetRevision()
+	if r > 0 {
+		d := string(o.Value.Data)
+		if was, ok := c.chosen[k][r]; ok && was != d {
+			c.bad("%s revision %d is both %s and %s", k, r, was, d)
+		}
+		c.chosen[k][r] = d
+	}
+	if r < c.began[o.Change.Name] {
+		c.bad("%s: %s ended at revision %d, but %d was agreed before it began", k, o.Change.Name, r, c.began[o.Change.Name])
+	}
+	if !o.Change.Read && o.Verdict == ballots.Agreed {
+		c.agreed++
+		// Its own revision is base+1, whatever came later.
+		if was, ok := c.chosen[k][o.Change.Base+1]; ok && was != string(o.Change.Data) {
+			c.bad("%s: %s was told agreed, but revision %d is %s", k, o.Change.Name, o.Change.Base+1, was)
+		}
+		c.chosen[k][o.Change.Base+1] = string(o.Change.Data)
+	}
+	if !o.Change.Read && o.Verdict == ballots.Lost && c.chosen[k][o.Change.Base+1] == string(o.Change.Data) {
+		c.bad("%s: %s was told lost and is in force", k, o.Change.Name)
+	}
+	if o.Change.Read {
+		c.reads++
+	}
+	c.agreedAt[k] = max(c.agreedAt[k], r)
+}
+
+func (c *cluster) take(to string, e *schema.Envelope) {
+	if !c.up[to] {
+		return
+	}
+	switch e.Body.(type) {
+	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
+		c.proposed(to, c.props[to].Step(c.w.Now, e))
+	default:
+		c.voted(to, c.voters[to].Step(c.w.Now, e))
+	}
+}
+
+// run drives one seed; it returns what was found wrong.
+func run(t *testing.T, seed uint64, plant planted) (*cluster, string) {
+	c := &cluster{t: t, w: simulation.NewWorld(seed), plant: plant, addrs: []string{"a", "b", "c"}, voters: map[string]*ballots.Voter{},
+		props: map[string]*ballots.Proposer{}, disk: map[string][]*schema.VoterLog{}, up: map[string]bool{}, gen: map[string]int{},
+		chosen: map[string]map[uint64]string{"x": {}, "y": {}}, agreedAt: map[string]uint64{}, began: map[string]uint64{}}
+	c.n = simulation.NewNetwork(c.w)
+	c.n.Take = c.take
+	c.n.Drop, c.n.Double = 0.05, 0.05
+	c.n.DelayHi = 30_000
+	for _, a := range c.addrs {
+		c.boot(a, plant == emptyDiskVotes)
+	}
+	const length = 40_000_000
+	var change func()
+	change = func() {
+		a := c.addrs[c.w.R.IntN(3)]
+		if c.up[a] {
+			c.changes++
+			k := []string{"x", "y"}[c.w.R.IntN(2)]
+			ch := ballots.Change{Name: fmt.Sprintf("%s%d", a, c.changes), Key: k, Expiry: c.w.Now + c.w.Between(200_000, 3_000_000)}
+			ch.Read = c.w.Chance(0.4)
+			if !ch.Read {
+				ch.Base, ch.Data = c.agreedAt[k], []byte(ch.Name)
+			}
+			c.began[ch.Name] = c.agreedAt[k]
+			c.proposed(a, c.props[a].Ask(c.w.Now, ch))
+		}
+		c.w.After(c.w.Between(5_000, 120_000), change)
+	}
+	c.w.After(1_000_000, change)
+	// One machine is down, or without its disk, at a time.
+	var fault func()
+	fault = func() {
+		a := c.addrs[c.w.R.IntN(3)]
+		all := true
+		for _, o := range c.addrs {
+			all = all && c.up[o] && c.voters[o].Formed()
+		}
+		switch p := c.w.R.IntN(4); {
+		case !all:
+		case p == 3:
+			b := c.addrs[c.w.R.IntN(3)]
+			c.n.Cut(a, b, true)
+			if c.w.Chance(0.5) {
+				c.n.Cut(b, a, true)
+			}
+			c.w.After(c.w.Between(100_000, 2_000_000), c.n.Mend)
+		default:
+			c.up[a] = false
+			c.w.After(c.w.Between(0, 1_500_000), func() { c.boot(a, p == 0) })
+		}
+		c.w.After(c.w.Between(200_000, 2_000_000), fault)
+	}
+	c.w.After(2_000_000, fault)
+	c.w.Run(length)
+	return c, c.fail
+}
+
+// TestRegistersUnderFaults: over many seeds no revision is ever two values,
+// none that was told agreed is lost, and no reading is older than what was
+// agreed before it began.
+func TestRegistersUnderFaults(t *testing.T) {
+	n := uint64(400)
+	if testing.Short() {
+		n = 40
+	}
+	agreed, reads := 0, 0
+	for seed := range n {
+		c, bad := run(t, seed, none)
+		if bad != "" {
+			t.Fatalf("seed %d: %s", seed, bad)
+		}
+		agreed, reads = agreed+c.agreed, reads+c.reads
+	}
+	if agreed < int(n)*100 || reads < int(n)*50 {
+		t.Fatalf("only %d changes were agreed and %d readings made: the runs show little", agreed, reads)
+	}
+	t.Logf("%d seeds: %d changes agreed, %d readings", n, agreed, reads)
+}
+
+// TestPlantedFaultsAreSeen: the same checks fail once a promise is not synced,
+// an empty disk votes at once, or one voter's word is taken for a majority's.
+func TestPlantedFaultsAreSeen(t *testing.T) {
+	for p, name := range map[planted]string{unsyncedPromise: "unsynced promise", emptyDiskVotes: "empty disk votes", ackBeforeMajority: "ack before majority"} {
+		seen := 0
+		for seed := range uint64(60) {
+			if _, bad := run(t, seed, p); bad != "" {
+				if seen == 0 {
+					t.Logf("%s: seed %d: %s", name, seed, bad)
+				}
+				seen++
+			}
+		}
+		if seen == 0 {
+			t.Errorf("%s: no seed of 60 shows it", name)
+		}
+		t.Logf("%s: seen by %d of 60 seeds", name, seen)
+	}
+}
--- /dev/null
+++ b/tools/generate-docs/main.go
@@ -0,0 +1,110 @@
+// Command generate-docs writes the tables in docs/ from the tables in code:
+// result codes and settings.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"stoneford/result"
+	"stoneford/schema"
+	"stoneford/settings"
+)
+
+func main() {
+	for f, t := range map[string]string{"docs/result-codes.md": codes(), "docs/settings.md": tables()} {
+		if err := os.WriteFile(f, []byte(t), 0o644); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
+
+func codes() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nGenerated from `result/result.go` by `go generate ./...`.\n\n")
+	b.WriteString("Codes 100 to 199 are the caller's errors, 200 to 299 bounces (nothing was kept; come back), 300 to 399 ends that the caller has to look into, 400 to 499 returns to operators, 500 and up lines of the log.\n\n")
+	b.WriteString("| code | HTTP | meaning | what to do |\n| --- | --- | --- | --- |\n")
+	for _, r := range result.Table {
+		h := fmt.Sprint(r.HTTP)
+		if r.HTTP == 0 {
+			h = "log"
+		}
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", r.Code, h, r.Text, r.Then)
+	}
+	return b.String()
+}
+
+func tables() string {
+	var b strings.Builder
+	b.WriteString("# Tables of settings\n\nGenerated from `schema/settings.proto` by `go generate ./...`. Times are whole microseconds.\n")
+	fmt.Fprintf(&b, "\n## Boot settings\n\nRead from the file named by `--boot`; a flag of the same name (with `-` for `_`) wins over the file. The file is looked at once a second; what takes effect at once needs no signal.\n\n")
+	table(&b, (&schema.Boot{}).ProtoReflect().Descriptor(), "", true)
+	fmt.Fprintf(&b, "\n## Configuration\n\nWhat a partner's operators send. `*` stands for a name.\n\n")
+	table(&b, (&schema.Configuration{}).ProtoReflect().Descriptor(), "", false)
+	return b.String()
+}
+
+func table(b *strings.Builder, d protoreflect.MessageDescriptor, pre string, boot bool) {
+	if pre == "" {
+		b.WriteString("| field | type | default | check |")
+		if boot {
+			b.WriteString(" takes effect |")
+		}
+		b.WriteString(" meaning |\n| --- | --- | --- | --- | --- |")
+		if boot {
+			b.WriteString(" --- |")
+		}
+		b.WriteString("\n")
+	}
+	fs := d.Fields()
+	for i := range fs.Len() {
+		f := fs.Get(i)
+		s := settings.Meta(f)
+		def := s.GetDefault()
+		if s.GetRequired() {
+			def = "required"
+		}
+		ty := f.Kind().String()
+		if f.IsMap() {
+			ty = "object by name"
+		} else if f.IsList() {
+			ty = "list of " + ty
+		}
+		fmt.Fprintf(b, "| `%s%s` | %s | %s | %s |", pre, f.Name(), ty, code(def), strings.ReplaceAll(check(s), "|", "\\|"))
+		if boot {
+			fmt.Fprintf(b, " %s |", s.GetBootEffect())
+		}
+		fmt.Fprintf(b, " %s |\n", s.GetDoc())
+		if f.IsMap() && f.MapValue().Kind() == protoreflect.MessageKind {
+			table(b, f.MapValue().Message(), pre+string(f.Name())+".*.", boot)
+		}
+	}
+}
+
+func code(s string) string {
+	if s == "" || s == "required" {
+		return s
+	}
+	return "`" + s + "`"
+}
+
+func check(s *schema.Setting) string {
+	var cs []string
+	if s.GetPattern() != "" {
+		cs = append(cs, "`"+s.Pattern+"`")
+	}
+	if len(s.GetOneOf()) > 0 {
+		cs = append(cs, "one of "+strings.Join(s.OneOf, ", "))
+	}
+	if s.GetMax() > 0 {
+		cs = append(cs, fmt.Sprintf("%d to %d", s.GetMin(), s.GetMax()))
+	}
+	if s.GetMinItems() > 0 {
+		cs = append(cs, fmt.Sprintf("%d to %d items", s.GetMinItems(), s.GetMaxItems()))
+	}
+	return strings.Join(cs, "; ")
+}
