--- a/control/core.go
+++ b/control/core.go
@@ -545,6 +545,9 @@
 	c.fx.Send = append(c.fx.Send, step.Send{To: from, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_PermitGive{PermitGive: gv}}})
 }
 
+// Votes says whether this process's voter votes.
+func (c *Core) Votes() bool { return c.voter.Formed() }
+
 // Nodes is who is in the fleet, as this process knows it.
 func (c *Core) Nodes() []roster.Node { return c.nodes }
 
--- a/pool/core.go
+++ b/pool/core.go
@@ -100,6 +100,7 @@
 	proposer *ballots.Proposer
 	nodes    []roster.Node
 	configs  map[string]*schema.Configuration
+	inForce  map[string]uint64 // revision of each configuration in force
 	reading  map[string]bool
 	checked  map[string]uint64 // configurations read through a majority: least revision to apply
 	groups   map[string]*group
@@ -116,7 +117,7 @@
 func NewCore(b *schema.Boot, run uint64) *Core {
 	return &Core{boot: b, self: b.Listen, run: run, stamp: run, relay: relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
 		watch: neighbours.New(b.Listen), proposer: ballots.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
-		configs: map[string]*schema.Configuration{}, reading: map[string]bool{}, checked: map[string]uint64{}, groups: map[string]*group{},
+		configs: map[string]*schema.Configuration{}, inForce: map[string]uint64{}, reading: map[string]bool{}, checked: map[string]uint64{}, groups: map[string]*group{},
 		turn: int(step.Hash(b.Listen) % 3)}
 }
 
@@ -197,6 +198,7 @@
 		return
 	}
 	c.configs[strings.TrimPrefix(key, control.ConfigPrefix)] = cf
+	c.inForce[key] = v.Revision
 	c.say(result.RevisionApplied, "%s revision %d", key, v.Revision)
 	c.plan()
 	c.applied(now, key)
@@ -377,6 +379,9 @@
 	}
 }
 
+// InForce is the revision of each configuration this node works by.
+func (c *Core) InForce() map[string]uint64 { return c.inForce }
+
 // Nodes is who is in the fleet, as this node knows it.
 func (c *Core) Nodes() []roster.Node { return c.nodes }
 
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -17,6 +17,7 @@
 
 	"stoneford/querytable"
 	"stoneford/result"
+	"stoneford/standin/checker"
 )
 
 // Load is what callers do.
@@ -46,31 +47,8 @@
 const (
 	Reservation = "reservation"
 	Transaction = "transaction"
-	Current     = "current read"
-	Lookup      = "lookup"
-	Pinned      = "pinned"
 )
 
-type write struct {
-	route string
-	tag   string
-	out   result.Outcome
-	at    int64
-}
-
-type read struct {
-	route string
-	kind  string
-	ticks int64
-	acked int64 // ticks acknowledged before it began
-	own   int64
-	ownAt int64 // own writes acknowledged before it began
-	began int64
-	at    int64 // when its return came
-	copy  string
-	node  string
-}
-
 // Sample is one query for the figures.
 type Sample struct {
 	Kind    string
@@ -90,23 +68,16 @@
 	c       *http.Client
 	began   time.Time
 	mu      sync.Mutex
-	writes  []write
-	reads   []read
 	samples []Sample
-	oddity  []string
-	ticks   map[string]*atomic.Int64
+	Checker *checker.Checker
 	ackAt   map[string][]int64 // times of acknowledged writes by route
 	seq     atomic.Int64
 }
 
 // New makes a run.
 func New(l Load) *Run {
-	r := &Run{load: l, began: time.Now(), ticks: map[string]*atomic.Int64{}, ackAt: map[string][]int64{},
+	return &Run{load: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{},
 		c: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
-	for _, rt := range l.Routes {
-		r.ticks[rt] = &atomic.Int64{}
-	}
-	return r
 }
 
 func nowUs() int64 { return time.Now().UnixMicro() }
@@ -152,7 +123,7 @@
 	for pause(ctx, 50*time.Millisecond) {
 		v, ok := s.ask(ctx, "tick", query{Class: "reserve", Statements: stmts("add ticks t 1")})
 		if ok && v.Outcome == result.Done {
-			r.ticks[route].Add(1)
+			r.Checker.Ticked(route)
 			r.mu.Lock()
 			r.ackAt[route] = append(r.ackAt[route], nowUs())
 			r.mu.Unlock()
@@ -277,21 +248,21 @@
 	case p < 0.50:
 		s.transaction(ctx)
 	case p < 0.55:
-		s.read(ctx, Current, query{Class: "reserve", ReadOnly: true})
+		s.read(ctx, checker.Current, query{Class: "reserve", ReadOnly: true})
 	case p < 0.85:
-		s.read(ctx, Lookup, query{Class: "lookup"})
+		s.read(ctx, checker.Lookup, query{Class: "lookup"})
 	default:
-		s.read(ctx, Pinned, query{Class: "pickup"})
+		s.read(ctx, checker.Pinned, query{Class: "pickup"})
 	}
 }
 
 func (s *session) tag() string { return "t" + strconv.FormatInt(s.r.seq.Add(1), 10) }
 
 func (s *session) wrote(tag string, o result.Outcome) {
-	s.r.mu.Lock()
-	defer s.r.mu.Unlock()
-	s.r.writes = append(s.r.writes, write{route: s.route, tag: tag, out: o, at: nowUs()})
+	s.r.Checker.Wrote(checker.Write{Route: s.route, Tag: tag, Out: o, AtUs: nowUs()})
 	if o == result.Done {
+		s.r.mu.Lock()
+		defer s.r.mu.Unlock()
 		s.r.ackAt[s.route] = append(s.r.ackAt[s.route], nowUs())
 	}
 }
@@ -321,19 +292,13 @@
 	s.r.samples = append(s.r.samples, Sample{Kind: kind, AtUs: t0, TookUs: nowUs() - t0, Code: v.Code, Outcome: v.Outcome, Tries: n, Copy: v.Copy, OnReplica: v.Replica})
 }
 
-func (s *session) odd(f string, a ...any) {
-	s.r.mu.Lock()
-	defer s.r.mu.Unlock()
-	s.r.oddity = append(s.r.oddity, fmt.Sprintf(f, a...))
-}
-
 // transaction reads the ticks, takes stock and writes its tag, in several
 // queries, and looks that it runs under its own session values.
 func (s *session) transaction(ctx context.Context) {
 	t0 := nowUs()
 	for n := 1; ; n++ {
 		tag := s.tag()
-		acked := s.r.ticks[s.route].Load()
+		acked := s.r.Checker.Ticks(s.route)
 		key := strconv.Itoa(s.rnd.IntN(50))
 		steps := []query{
 			{Class: "reserve", Begin: true, Statements: stmts("read ticks t stock "+key, "value mark")},
@@ -358,13 +323,13 @@
 			}
 			switch i {
 			case 0:
-				s.gotTicks(Current, v, t0, acked, 0, 0)
+				s.gotTicks(checker.Current, v, acked, 0)
 				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
-					s.odd("%s: a transaction read the session value of another: %v, not %s", s.route, v.Rows, mark)
+					s.r.Checker.Odd("%s: a transaction read the session value of another: %v, not %s", s.route, v.Rows, mark)
 				}
 			case 1:
 				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
-					s.odd("%s: a prepared name ran as another's: %v, not %s", s.route, v.Rows, mark)
+					s.r.Checker.Odd("%s: a prepared name ran as another's: %v, not %s", s.route, v.Rows, mark)
 				}
 			}
 		}
@@ -382,28 +347,26 @@
 
 func (s *session) read(ctx context.Context, kind string, q query) {
 	q.Statements = stmts("read ticks t own " + s.name)
-	acked, own, t0 := s.r.ticks[s.route].Load(), s.own, nowUs()
+	acked, own := s.r.Checker.Ticks(s.route), s.own
 	v, ok := s.ask(ctx, kind, q)
 	if ok && v.Outcome == result.Done {
-		s.gotTicks(kind, v, t0, acked, own, t0)
+		s.gotTicks(kind, v, acked, own)
 	}
 }
 
-func (s *session) gotTicks(kind string, v reply, began, acked, own, ownAt int64) {
+func (s *session) gotTicks(kind string, v reply, acked, own int64) {
 	if len(v.Rows) == 0 || len(v.Rows[0]) < 2 {
-		s.odd("%s: a %s returned %v", s.route, kind, v.Rows)
+		s.r.Checker.Odd("%s: a %s returned %v", s.route, kind, v.Rows)
 		return
 	}
 	n, err1 := strconv.ParseInt(v.Rows[0][0][0], 10, 64)
 	o, err2 := strconv.ParseInt(v.Rows[0][1][0], 10, 64)
 	if err1 != nil || err2 != nil {
-		s.odd("%s: a %s returned %v", s.route, kind, v.Rows)
+		s.r.Checker.Odd("%s: a %s returned %v", s.route, kind, v.Rows)
 		return
 	}
-	rd := read{route: s.route, kind: kind, ticks: n, acked: acked, own: o, ownAt: own, began: began, at: nowUs(), copy: v.Copy, node: s.node}
-	s.r.mu.Lock()
-	s.r.reads = append(s.r.reads, rd)
-	s.r.mu.Unlock()
+	s.r.Checker.Got(checker.Read{Route: s.route, Kind: kind, Ticks: n, Acked: acked, Own: o, OwnWant: own, AtUs: nowUs(),
+		Where: "on " + v.Copy + " by " + s.node})
 }
 
 // Samples returns all queries sent so far.
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -23,6 +23,7 @@
 
 	"stoneford/result"
 	"stoneford/standin/callers"
+	"stoneford/standin/checker"
 	"stoneford/standin/fleet"
 )
 
@@ -54,7 +55,7 @@
 	OnReplica float64            `json:"reads_on_replicas_share"`
 	PerSecond []string           `json:"served_of_sent_per_second"`
 	Faults    []fault            `json:"faults,omitempty"`
-	Check     callers.Verdict    `json:"check"`
+	Check     checker.Verdict    `json:"check"`
 	Died      []string           `json:"ended_by_themselves,omitempty"`
 }
 
@@ -193,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	rep.Check = r.Check(logs)
+	rep.Check = r.Checker.Check(logs)
 	for i := range rep.Faults {
 		for _, g := range sh.Groups {
 			if strings.HasPrefix(rep.Faults[i].Hit, g+"-") {
@@ -226,7 +227,7 @@
 		rep.Kinds[k] = sum(l)
 	}
 	reads := lo.Filter(ss, func(s callers.Sample, _ int) bool {
-		return (s.Kind == callers.Lookup || s.Kind == callers.Pinned || s.Kind == callers.Current) && s.Outcome == result.Done
+		return (s.Kind == checker.Lookup || s.Kind == checker.Pinned || s.Kind == checker.Current) && s.Outcome == result.Done
 	})
 	by := lo.CountValuesBy(reads, func(s callers.Sample) string { return s.Copy })
 	rep.All.Copies = by
@@ -271,6 +272,6 @@
 	if len(ss) > 0 {
 		f.Served, f.FirstTry = share(ok, len(ss)), share(first, len(ss))
 	}
-	f.P50Us, f.P99Us = callers.Quantile(took, 0.5), callers.Quantile(took, 0.99)
+	f.P50Us, f.P99Us = checker.Quantile(took, 0.5), checker.Quantile(took, 0.99)
 	return f
 }
