--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -85,30 +85,32 @@
 func TestPlantedFaultsAreSeen(t *testing.T) {
 	random := func(f *simulation.Fleet) { f.RandomFaults(f.Now+12_000_000, 700_000) }
 	for _, c := range []struct {
-		plant  simulation.Plant
-		name   string
-		seeds  uint64
-		lag    int64
-		faults func(*simulation.Fleet)
+		plant    simulation.Plant
+		name     string
+		seeds    uint64
+		lag      int64
+		sessions int
+		lengthUs int64
+		faults   func(*simulation.Fleet)
 	}{
-		{simulation.AckBeforeMajority, "ack before majority", 32, 5_000, random},
-		{simulation.SkippedEntry, "skipped entry", 8, 300_000, random},
-		{simulation.TornSession, "torn session", 8, 5_000, random},
-		{simulation.UnsealedTakeover, "unsealed takeover", 8, 5_000, halfSeen},
+		{simulation.AckBeforeMajority, "ack before majority", 32, 5_000, 16, 12_000_000, random},
+		{simulation.SkippedEntry, "skipped entry", 8, 300_000, 16, 12_000_000, random},
+		{simulation.TornSession, "torn session", 8, 5_000, 16, 12_000_000, random},
+		{simulation.UnsealedTakeover, "unsealed takeover", 8, 5_000, 200, 4_000_000, halfSeen},
 	} {
 		for _, plant := range []simulation.Plant{simulation.NoPlant, c.plant} {
 			var mu sync.Mutex
 			n, first := 0, ""
 			each(c.seeds, 0, func(seed uint64) {
 				pl := plan(seed)
-				pl.Plant, pl.LagUs = plant, c.lag
+				pl.Plant, pl.LagUs, pl.Sessions = plant, c.lag, c.sessions
 				f := simulation.NewFleet(pl)
 				f.Quiet = true
 				f.PutSettings(nil)
 				f.Run(3_000_000)
 				f.Callers()
 				c.faults(f)
-				f.Run(f.Now + 12_000_000)
+				f.Run(f.Now + c.lengthUs)
 				v := f.Finish()
 				mu.Lock()
 				defer mu.Unlock()
@@ -151,3 +153,15 @@
 		}
 	})
 }
+
+// TestSameSeedSameRun: a seed replays exactly.
+func TestSameSeedSameRun(t *testing.T) {
+	a, va := faulty(plan(7))
+	b, vb := faulty(plan(7))
+	if x, y := strings.Join(a.Says, "\n"), strings.Join(b.Says, "\n"); x != y {
+		t.Errorf("the two runs say different things")
+	}
+	if len(a.Truth.Samples) != len(b.Truth.Samples) || va.Acked != vb.Acked || va.Ages[checker.Lookup] != vb.Ages[checker.Lookup] {
+		t.Errorf("%d and %d queries, %d and %d writes", len(a.Truth.Samples), len(b.Truth.Samples), va.Acked, vb.Acked)
+	}
+}
