--- /dev/null
+++ b/cmd/stoneford/main.go
@@ -0,0 +1,193 @@
+// Command stoneford is the operators' command line.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"stoneford/control"
+	"stoneford/operators"
+	"stoneford/result"
+)
+
+// Exit codes beside 0.
+const (
+	exitFailed = 1 // not done: nothing was reached, or it was returned with a code
+	exitUnsure = 3 // a change may or may not come into force
+)
+
+func main() {
+	c := &cli.Command{
+		Name: "stoneford", Usage: "ask and change a stoneford fleet",
+		Description: "Exit codes: 0 done, 1 not done, 3 a change may or may not come into force.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "control", Usage: "operators' addresses of the control processes, separated by commas", Sources: cli.EnvVars("STONEFORD_CONTROL")},
+			&cli.StringFlag{Name: "token", Usage: "the partner's token", Sources: cli.EnvVars("STONEFORD_TOKEN")},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Commands: []*cli.Command{
+			{Name: "status", Usage: "nodes, groups and who holds which duty", Action: status},
+			{Name: "settings", Usage: "read or change the partner's configuration", Commands: []*cli.Command{
+				{Name: "get", Usage: "print the configuration and its revision, read through a majority",
+					Flags:  []cli.Flag{&cli.BoolFlag{Name: "applied", Usage: "and which revision each process works by"}},
+					Action: get},
+				{Name: "put", Usage: "replace the whole configuration", ArgsUsage: "FILE (- for standard input)", Flags: changeFlags(), Action: change(false)},
+				{Name: "patch", Usage: "change part of it (JSON merge patch)", ArgsUsage: "JSON, or @FILE", Flags: changeFlags(), Action: change(true)},
+			}},
+		},
+	}
+	if err := c.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "stoneford:", err)
+		var e coded
+		if errors.As(err, &e) && e.code == result.ChangeUncertain {
+			os.Exit(exitUnsure)
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+// coded is a return that is not done.
+type coded struct {
+	code result.Code
+	text string
+}
+
+func (c coded) Error() string { return fmt.Sprintf("%d %s", c.code, c.text) }
+
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Int64Flag{Name: "based-on", Value: -1, Usage: "revision the change is based on (default: the newest now)"},
+		&cli.BoolFlag{Name: "dry-run", Usage: "check it, change nothing"},
+	}
+}
+
+func client(c *cli.Command) operators.Client {
+	return operators.Client{Token: c.String("token"), Addresses: lo.Compact(strings.Split(c.String("control"), ","))}
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func get(ctx context.Context, c *cli.Command) error {
+	r, err := client(c).Settings(ctx, c.Bool("applied"))
+	if err != nil {
+		return err
+	}
+	return show(c, r, true)
+}
+
+func show(c *cli.Command, r control.Reply, whole bool) error {
+	if c.Bool("json") {
+		if err := printJSON(r); err != nil {
+			return err
+		}
+	} else {
+		for _, p := range r.Problems {
+			fmt.Fprintln(os.Stderr, " ", p)
+		}
+		if r.Code == result.OK {
+			fmt.Printf("%s, revision %d\n", r.Partner, r.Revision)
+		}
+		if whole && len(r.Settings) > 0 {
+			if err := printJSON(r.Settings); err != nil {
+				return err
+			}
+		}
+		for _, n := range slices.Sorted(maps.Keys(r.Applied)) {
+			fmt.Printf("%s works by revision %d\n", n, r.Applied[n])
+		}
+	}
+	if r.Code != result.OK {
+		t := r.Text
+		if r.Detail != "" {
+			t += ": " + r.Detail
+		}
+		if r.Code == result.LosingRevision {
+			t += fmt.Sprintf(" (it is %d)", r.Revision)
+		}
+		return coded{code: r.Code, text: t}
+	}
+	return nil
+}
+
+func change(patch bool) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		b, err := text(c.Args().First(), patch)
+		if err != nil {
+			return err
+		}
+		if !json.Valid(b) {
+			return errors.New("the configuration is not JSON")
+		}
+		cl := client(c)
+		base := c.Int64("based-on")
+		if base < 0 {
+			r, err := cl.Settings(ctx, false)
+			if err != nil {
+				return err
+			}
+			if r.Code != result.OK {
+				return show(c, r, false)
+			}
+			base = int64(r.Revision)
+		}
+		r, err := cl.Change(ctx, uint64(base), b, patch, c.Bool("dry-run"))
+		if err != nil {
+			return coded{code: result.ChangeUncertain, text: err.Error()}
+		}
+		return show(c, r, c.Bool("dry-run"))
+	}
+}
+
+func text(arg string, patch bool) ([]byte, error) {
+	f, isFile := strings.CutPrefix(arg, "@")
+	switch {
+	case arg == "":
+		return nil, errors.New("nothing to send is named")
+	case patch && !isFile && arg != "-":
+		return []byte(arg), nil
+	case arg == "-":
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(f)
+}
+
+func status(ctx context.Context, c *cli.Command) error {
+	s, err := client(c).Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "GROUP\tEPOCH\tPHASE\tPRIMARY\tDUTY HOLDER\tCAUSE")
+	for _, g := range s.Groups {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\n", g.Name, g.Epoch, g.Phase, g.Primary, g.Holder, g.Cause)
+	}
+	fmt.Fprintln(w, "\nNODE\tKIND\tZONE\tADDRESS\tHTTP\tSTANDING")
+	for _, n := range s.Nodes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", n.Name, n.Kind, n.Zone, n.Address, n.HTTP, lo.Ternary(n.Leaving, "leaving", lo.Ternary(n.Alive, "alive", "silent")))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if !s.Formed {
+		fmt.Println("\nthis control process does not vote yet")
+	}
+	return nil
+}
--- a/control/operators.go
+++ b/control/operators.go
@@ -80,7 +80,8 @@
 	give(w, out)
 }
 
-type settingsBody struct {
+// SettingsBody is the body of a change.
+type SettingsBody struct {
 	BasedOn  uint64          `json:"based_on"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -90,7 +91,7 @@
 	if !ok {
 		return
 	}
-	var b settingsBody
+	var b SettingsBody
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
 	d.DisallowUnknownFields()
 	err := d.Decode(&b)
--- /dev/null
+++ b/operators/client.go
@@ -0,0 +1,111 @@
+// Package operators is the operators' side of a control process's HTTP.
+package operators
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"stoneford/control"
+	"stoneford/result"
+)
+
+// Client asks any of the control processes.
+type Client struct {
+	Addresses []string
+	Token     string
+}
+
+const askTime = 7 * time.Second
+
+// Do puts a query to the control processes in turn until one answers. A change
+// goes to the next only when the one before it was never reached: after that,
+// whether it took effect is for the operator to read.
+func (c Client) Do(ctx context.Context, method, path string, in, out any) error {
+	if len(c.Addresses) == 0 {
+		return errors.New("no control process is named (STONEFORD_CONTROL or --control)")
+	}
+	var all []error
+	for _, a := range c.Addresses {
+		err := c.one(ctx, a, method, path, in, out)
+		if err == nil {
+			return nil
+		}
+		all = append(all, fmt.Errorf("%s: %w", a, err))
+		var d *dialError
+		if method != http.MethodGet && !errors.As(err, &d) {
+			break
+		}
+	}
+	return errors.Join(all...)
+}
+
+type dialError struct{ error }
+
+func (c Client) one(ctx context.Context, addr, method, path string, in, out any) error {
+	ctx, stop := context.WithTimeout(ctx, askTime)
+	defer stop()
+	var b []byte
+	if in != nil {
+		var err error
+		if b, err = json.Marshal(in); err != nil {
+			return err
+		}
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	rq.Header.Set("Authorization", "Bearer "+c.Token)
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		if dialed(err) {
+			return &dialError{err}
+		}
+		return err
+	}
+	defer rs.Body.Close()
+	return json.NewDecoder(rs.Body).Decode(out)
+}
+
+// Settings reads the partner's configuration; applied asks who works by which
+// revision.
+func (c Client) Settings(ctx context.Context, applied bool) (control.Reply, error) {
+	var r control.Reply
+	p := "/v1/settings"
+	if applied {
+		p += "?applied=1"
+	}
+	return r, c.Do(ctx, http.MethodGet, p, nil, &r)
+}
+
+// Change sends a whole configuration or a merge patch based on a revision.
+func (c Client) Change(ctx context.Context, base uint64, settings json.RawMessage, patch, dry bool) (control.Reply, error) {
+	var r control.Reply
+	m, p := http.MethodPut, "/v1/settings"
+	if patch {
+		m = http.MethodPatch
+	}
+	if dry {
+		p += "?dry_run=1"
+	}
+	return r, c.Do(ctx, m, p, control.SettingsBody{BasedOn: base, Settings: settings}, &r)
+}
+
+// Status reads what a control process knows of the fleet.
+func (c Client) Status(ctx context.Context) (control.Status, error) {
+	var s struct {
+		control.Status
+		Code result.Code `json:"code"`
+		Text string      `json:"text"`
+	}
+	err := c.Do(ctx, http.MethodGet, "/v1/status", nil, &s)
+	if err == nil && s.Code != result.OK {
+		err = fmt.Errorf("%d %s", s.Code, s.Text)
+	}
+	return s.Status, err
+}
--- a/pool/callers.go
+++ b/pool/callers.go
@@ -210,7 +210,7 @@
 	ok := len(gs) > 0 && !p.stopping.Load()
 	waiting := []string{}
 	for k, g := range gs {
-		if v := g.counts.Load(); v == nil || !lo.SomeBy(v.Views, func(v querytable.View) bool { return v.Known }) {
+		if v := g.counts.Load(); v == nil || !v.Ready {
 			ok = false
 			waiting = append(waiting, k)
 		}
--- a/pool/process.go
+++ b/pool/process.go
@@ -198,6 +198,7 @@
 	busy    atomic.Int64
 	counts  atomic.Pointer[tableView]
 	nextUs  int64
+	ready   bool
 }
 
 type tableView struct {
@@ -206,6 +207,7 @@
 	Queries  int
 	Conns    map[string]int
 	Views    []querytable.View
+	Ready    bool // a query could have been served once: a takeover since is no reason to send callers away
 }
 
 func (r *runner) step(now int64, evs []any) {
@@ -232,7 +234,8 @@
 	if now >= r.nextUs {
 		r.nextUs = now + viewEvery
 		vs := r.t.Views(now)
-		r.counts.Store(&tableView{Counts: r.t.Counts(), Sessions: s, Queries: q, Conns: conns, Views: vs})
+		r.ready = r.ready || r.t.Ready(now)
+		r.counts.Store(&tableView{Counts: r.t.Counts(), Sessions: s, Queries: q, Conns: conns, Views: vs, Ready: r.ready})
 		r.p.node.Offer(TableSaid{Group: r.group, Views: vs, InUse: conns})
 	}
 }
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -97,7 +97,7 @@
 
 // round tells the freshness queue how far the primary was when a majority,
 // itself among it, was last seen in one epoch: a primary that nobody follows
-// any more proves nothing about now (design 6.4).
+// any more proves nothing about now (design 7.4).
 func (t *Table) round() {
 	p := t.members[t.w.Primary]
 	if p == nil || !p.known || p.status.Role != "primary" || p.status.Epoch != t.w.Epoch {
@@ -344,3 +344,10 @@
 	}
 	return n
 }
+
+// Ready says whether a query allowed now could be served: the node is permitted
+// connections to a primary that answers and is followed.
+func (t *Table) Ready(now int64) bool {
+	p, ok := t.w.member(t.w.Primary)
+	return ok && p.Permit > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,7 +3,6 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,6 +21,7 @@
 
 	"stoneford/cleanup"
 	"stoneford/control"
+	"stoneford/operators"
 	"stoneford/standin/databasecopy"
 )
 
@@ -251,8 +251,12 @@
 			return err
 		}
 	}
-	err := until(ctx, 30*time.Second, func() error {
-		r, err := f.Operate(ctx, 0, http.MethodPut, "/v1/settings", map[string]any{"based_on": 0, "settings": f.Settings()})
+	b, err := json.Marshal(f.Settings())
+	if err != nil {
+		return err
+	}
+	err = until(ctx, 30*time.Second, func() error {
+		r, err := f.Operators().Change(ctx, 0, b, false, false)
 		if err != nil {
 			return err
 		}
@@ -290,42 +294,9 @@
 	}
 }
 
-// Operate puts an operator's query to the i-th control process.
-func (f *Fleet) Operate(ctx context.Context, i int, method, path string, in any) (control.Reply, error) {
-	var r control.Reply
-	return r, f.operate(ctx, i, method, path, in, &r)
-}
-
-func (f *Fleet) operate(ctx context.Context, i int, method, path string, in, out any) error {
-	ctx, stop := context.WithTimeout(ctx, 6*time.Second)
-	defer stop()
-	b, err := json.Marshal(in)
-	if err != nil {
-		return err
-	}
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+f.ops[i]+path, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	rq.Header.Set("Authorization", "Bearer "+Token)
-	rs, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return err
-	}
-	defer rs.Body.Close()
-	return json.NewDecoder(rs.Body).Decode(out)
-}
-
-// Status is what some control process knows of the fleet.
-func (f *Fleet) Status(ctx context.Context) (control.Status, error) {
-	var s control.Status
-	var err error
-	for i := range f.ops {
-		if err = f.operate(ctx, i, http.MethodGet, "/v1/status", nil, &s); err == nil && len(s.Groups) > 0 {
-			return s, nil
-		}
-	}
-	return s, err
+// Operators is the operators' side of the fleet.
+func (f *Fleet) Operators() operators.Client {
+	return operators.Client{Addresses: f.ops, Token: Token}
 }
 
 // Nodes are the ready pool nodes, as the platform hands them out.
@@ -345,7 +316,7 @@
 
 // Primary is a group's primary now.
 func (f *Fleet) Primary(ctx context.Context, group string) string {
-	s, err := f.Status(ctx)
+	s, err := f.Operators().Status(ctx)
 	if err != nil {
 		return ""
 	}
