--- a/control/process.go
+++ b/control/process.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -14,9 +15,7 @@
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
-	"github.com/tidwall/wal"
 	"github.com/zeebo/errs"
-	"google.golang.org/protobuf/proto"
 
 	"stoneford/cleanup"
 	"stoneford/databaseclient"
@@ -25,6 +24,7 @@
 	"stoneford/result"
 	"stoneford/schema"
 	"stoneford/takeover"
+	"stoneford/voterlog"
 )
 
 const (
@@ -32,9 +32,6 @@
 	lineLength   = 16384
 	askTime      = 500 * time.Millisecond
 	platformTime = 2 * time.Second
-	// compactAt is how many entries the voter's log holds before a snapshot
-	// takes their place.
-	compactAt = 4096
 )
 
 // Process is one control process: the core, its log on disk, links and HTTP.
@@ -46,7 +43,7 @@
 	l       *loop.Loop
 	links   *links.Links
 	dbs     *databaseclient.Client
-	disk    *voterDisk
+	disk    *voterlog.Log
 	waiters sync.Map // id to chan any
 	id      atomic.Uint64
 	ctx     context.Context
@@ -65,14 +62,32 @@
 		return nil, errs.New("boot: data_folder: required on a control process")
 	}
 	var n [4]byte
-	if _, err := rand.Read(n[:]); err != nil {
+	_, err := rand.Read(n[:])
+	if err != nil {
 		return nil, err
 	}
 	p := &Process{boot: b, clock: clock, l: loop.New(clock, lineLength), dbs: databaseclient.New()}
 	p.SetTokens(b.Tokens)
-	p.core = NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint32(n[:]))
-	d, err := openDisk(filepath.Join(b.DataFolder, "voter"), p.core.Restore)
-	p.disk = d
+	newCore := func() *Core {
+		return NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint32(n[:]))
+	}
+	p.core = newCore()
+	dir := filepath.Join(b.DataFolder, "voter")
+	if err := os.MkdirAll(b.DataFolder, 0o755); err != nil {
+		return nil, err
+	}
+	p.disk, err = voterlog.Open(dir, p.core.Restore)
+	if voterlog.ErrDamaged.Has(err) {
+		// What this voter once said can't be known any more: it is a voter
+		// without a disk, and joins anew (design 3.3).
+		to, aside := voterlog.SetAside(dir, clock.Now().UnixMicro())
+		log.WithFields(log.Fields{"code": int(result.LogDamaged), "kept_in": to}).WithError(err).Error(result.LogDamaged.String())
+		if aside != nil {
+			return nil, aside
+		}
+		p.core = newCore()
+		p.disk, err = voterlog.Open(dir, p.core.Restore)
+	}
 	return p, err
 }
 
@@ -89,7 +104,7 @@
 func (p *Process) Run(ctx context.Context) (err error) {
 	var cl cleanup.Stack
 	defer func() { err = errors.Join(err, cl.Run()) }()
-	cl.Push(p.disk.close)
+	cl.Push(p.disk.Close)
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	p.ctx, p.fail = work, func(err error) { stop(err) }
 	p.links = links.New(work, p.boot.Listen, func(e *schema.Envelope) { p.l.Offer(e) })
@@ -132,7 +147,7 @@
 		}
 	}
 	fx := p.core.Step(now, in...)
-	if err := p.disk.write(fx.Log, p.core.Snapshot); err != nil {
+	if err := p.disk.Write(fx.Log, p.core.Snapshot); err != nil {
 		// A voter that cannot keep its word must not speak.
 		p.fail(errs.New("voter's log: %w", err))
 		return
@@ -209,72 +224,3 @@
 	case <-p.ctx.Done():
 	}
 }
-
-// voterDisk is the voter's write-ahead log.
-type voterDisk struct {
-	w     *wal.Log
-	next  uint64
-	first uint64
-}
-
-// openDisk opens the log and plays it back. A last entry torn by a crash was
-// never synced, so nothing rests on it: the log drops it on opening. Anything
-// else that cannot be read is told, not passed over.
-func openDisk(folder string, restore func(*schema.VoterLog)) (*voterDisk, error) {
-	w, err := wal.Open(folder, &wal.Options{NoSync: true, SegmentSize: 4 << 20, SegmentCacheSize: 2, LogFormat: wal.Binary})
-	if err != nil {
-		return nil, errs.New("voter's log in %s: %w", folder, err)
-	}
-	first, err := w.FirstIndex()
-	if err != nil {
-		return nil, err
-	}
-	last, err := w.LastIndex()
-	if err != nil {
-		return nil, err
-	}
-	for i := max(first, 1); i <= last; i++ {
-		b, err := w.Read(i)
-		if err != nil {
-			return nil, errs.New("voter's log in %s, entry %d: %w", folder, i, err)
-		}
-		l := &schema.VoterLog{}
-		if err := proto.Unmarshal(b, l); err != nil {
-			return nil, errs.New("voter's log in %s, entry %d: %w", folder, i, err)
-		}
-		restore(l)
-	}
-	return &voterDisk{w: w, next: last + 1, first: max(first, 1)}, nil
-}
-
-// write appends and syncs; past a length a snapshot takes the place of what
-// came before.
-func (d *voterDisk) write(ls []*schema.VoterLog, snapshot func() *schema.VoterLog) error {
-	if len(ls) == 0 {
-		return nil
-	}
-	compact := d.next-d.first > compactAt
-	if compact {
-		ls = []*schema.VoterLog{snapshot()}
-	}
-	for _, l := range ls {
-		b, err := proto.Marshal(l)
-		if err != nil {
-			return err
-		}
-		if err := d.w.Write(d.next, b); err != nil {
-			return err
-		}
-		d.next++
-	}
-	if err := d.w.Sync(); err != nil {
-		return err
-	}
-	if compact {
-		d.first = d.next - 1
-		return d.w.TruncateFront(d.first)
-	}
-	return nil
-}
-
-func (d *voterDisk) close() error { return d.w.Close() }
--- a/result/result.go
+++ b/result/result.go
@@ -67,6 +67,7 @@
 	BootChanged        Code = 510
 	BootInvalid        Code = 511
 	EpochSeen          Code = 512
+	LogDamaged         Code = 513
 )
 
 // Row is one code's line in the table.
@@ -127,6 +128,7 @@
 	{BootChanged, 0, "the boot file changed and what takes effect at once did", "nothing"},
 	{BootInvalid, 0, "the boot file changed and has errors; the old settings stay", "correct the file"},
 	{EpochSeen, 0, "the node follows a new epoch of a group", "nothing"},
+	{LogDamaged, 0, "the voter's log is damaged; it was set aside and the voter joins anew", "look at the disk; remove the log that was set aside"},
 }
 
 var rows = func() map[Code]Row {
--- /dev/null
+++ b/result/result_test.go
@@ -0,0 +1,17 @@
+package result
+
+import "testing"
+
+// TestTable: codes stand in order, once, and say what they are.
+func TestTable(t *testing.T) {
+	last := Code(-1)
+	for _, r := range Table {
+		if r.Code <= last {
+			t.Errorf("%d stands behind %d", r.Code, last)
+		}
+		last = r.Code
+		if r.Text == "" || r.Then == "" || r.Code < 500 && r.HTTP == 0 {
+			t.Errorf("%d: its row is not whole", r.Code)
+		}
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -255,7 +255,7 @@
 	if err != nil {
 		return err
 	}
-	err = until(ctx, 30*time.Second, func() error {
+	err = Until(ctx, 30*time.Second, func() error {
 		r, err := f.Operators().Change(ctx, 0, b, false, false)
 		if err != nil {
 			return err
@@ -268,7 +268,7 @@
 	if err != nil {
 		return err
 	}
-	return until(ctx, 30*time.Second, func() error {
+	return Until(ctx, 30*time.Second, func() error {
 		if n := len(f.Nodes()); n < f.Shape.Machines {
 			return fmt.Errorf("%d of %d nodes are ready", n, f.Shape.Machines)
 		}
@@ -276,8 +276,8 @@
 	})
 }
 
-// until tries f again until it does not fail or the time is over.
-func until(ctx context.Context, most time.Duration, f func() error) error {
+// Until tries f again until it does not fail or the time is over.
+func Until(ctx context.Context, most time.Duration, f func() error) error {
 	end := time.Now().Add(most)
 	for {
 		err := f()
@@ -314,6 +314,23 @@
 	return ns
 }
 
+// Ready asks a process whether it is ready.
+func (f *Fleet) Ready(ctx context.Context, name string) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.procs[name].http+"/v1/ready", nil)
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s is not ready", name)
+	}
+	return nil
+}
+
 // Primary is a group's primary now.
 func (f *Fleet) Primary(ctx context.Context, group string) string {
 	s, err := f.Operators().Status(ctx)
@@ -332,7 +349,7 @@
 func (f *Fleet) Logs(ctx context.Context) (map[string][]databasecopy.LogEntry, error) {
 	out := map[string][]databasecopy.LogEntry{}
 	for _, g := range f.Shape.Groups {
-		err := until(ctx, 20*time.Second, func() error {
+		err := Until(ctx, 20*time.Second, func() error {
 			p := f.Primary(ctx, g)
 			if p == "" {
 				return fmt.Errorf("%s has no primary", g)
