--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -101,13 +101,13 @@
 	}
 	done := func() { s.f.After(s.f.Between(s.f.Plan.ThinkUs/2, s.f.Plan.ThinkUs*3/2), s.loop) }
 	switch p := s.f.R.Float64(); {
-	case p < 0.35:
+	case p < 0.38:
 		s.reserve(done)
-	case p < 0.50:
-		s.transaction(done)
 	case p < 0.55:
+		s.transaction(done)
+	case p < 0.60:
 		s.read(checker.Current, querytable.Query{Class: "reserve", ReadOnly: true}, done)
-	case p < 0.85:
+	case p < 0.87:
 		s.read(checker.Lookup, querytable.Query{Class: "lookup"}, done)
 	default:
 		s.read(checker.Pinned, querytable.Query{Class: "pickup"}, done)
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -243,13 +243,13 @@
 // one does one thing a till or an app does.
 func (s *session) one(ctx context.Context) {
 	switch p := s.rnd.Float64(); {
-	case p < 0.35:
+	case p < 0.38:
 		s.reserve(ctx)
-	case p < 0.50:
-		s.transaction(ctx)
 	case p < 0.55:
+		s.transaction(ctx)
+	case p < 0.60:
 		s.read(ctx, checker.Current, query{Class: "reserve", ReadOnly: true})
-	case p < 0.85:
+	case p < 0.87:
 		s.read(ctx, checker.Lookup, query{Class: "lookup"})
 	default:
 		s.read(ctx, checker.Pinned, query{Class: "pickup"})
