A stopping node tells idle sessions, and ends the returns under way first

Ruled out: the table's grace (no transaction was lost). Now it stays 1.5 s to bounce 203, asks HTTP/1.1 callers to close, and shuts the listener down before it closes. Callers' stand-in no longer counts a refused connection as a query that may have been taken. The stand-in database ends its pull when it is told to follow another: a dark primary had held the new epoch up for the pull's time-out.

--- a/pool/callers.go
+++ b/pool/callers.go
@@ -43,7 +43,12 @@
 	return m
 }
 
-func give(w http.ResponseWriter, r reply) {
+// give writes a return. Behind a stopping node's no further query is to come
+// over the same TCP connection: it would find nobody.
+func (p *Process) give(w http.ResponseWriter, r reply) {
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	r.Text = r.Code.String()
 	h := r.Code.Row().HTTP
 	w.Header().Set("Content-Type", "application/json")
@@ -54,13 +59,13 @@
 	json.NewEncoder(w).Encode(r)
 }
 
-func refuse(w http.ResponseWriter, c result.Code, detail string) {
-	give(w, reply{Code: c, Detail: detail, Outcome: result.NothingKept})
+func (p *Process) refuse(w http.ResponseWriter, c result.Code, detail string) {
+	p.give(w, reply{Code: c, Detail: detail, Outcome: result.NothingKept})
 }
 
 // body reads the one JSON value a path takes; a name it does not know is an
 // error, since leaving it out would change what was asked.
-func body(w http.ResponseWriter, r *http.Request, v any) bool {
+func (p *Process) body(w http.ResponseWriter, r *http.Request, v any) bool {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
 	d.DisallowUnknownFields()
 	err := d.Decode(v)
@@ -70,9 +75,9 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		refuse(w, result.TooLarge, "")
+		p.refuse(w, result.TooLarge, "")
 	case err != nil:
-		refuse(w, result.BadJSON, err.Error())
+		p.refuse(w, result.BadJSON, err.Error())
 	}
 	return err == nil
 }
@@ -87,7 +92,7 @@
 
 func (p *Process) openSession(w http.ResponseWriter, r *http.Request) {
 	var b sessionBody
-	if !body(w, r, &b) {
+	if !p.body(w, r, &b) {
 		return
 	}
 	rs := *p.routes.Load()
@@ -98,16 +103,16 @@
 	}
 	switch {
 	case p.stopping.Load():
-		refuse(w, result.Stopping, "")
+		p.refuse(w, result.Stopping, "")
 		return
 	case len(rs) == 0 || ok && g == nil:
-		give(w, reply{Code: result.NotConfigured, Outcome: result.NothingKept, RetryAfterUs: 300_000})
+		p.give(w, reply{Code: result.NotConfigured, Outcome: result.NothingKept, RetryAfterUs: 300_000})
 		return
 	case !ok:
-		refuse(w, result.UnknownRoute, b.Route)
+		p.refuse(w, result.UnknownRoute, b.Route)
 		return
 	case b.Token.Group != "" && b.Token.Group != rt.Group:
-		refuse(w, result.BadToken, "of "+b.Token.Group)
+		p.refuse(w, result.BadToken, "of "+b.Token.Group)
 		return
 	}
 	id := b.Session
@@ -115,11 +120,11 @@
 		id = rand.Text()
 	}
 	if _, taken := p.sessions.LoadOrStore(id, &routed{r: g, route: b.Route}); taken {
-		refuse(w, result.SessionExists, id)
+		p.refuse(w, result.SessionExists, id)
 		return
 	}
 	g.l.Post(querytable.Open{Session: id, Values: b.Values, Prepared: b.Prepared, Token: b.Token})
-	give(w, reply{Outcome: result.Done, Session: id, Token: lo.ToPtr(b.Token)})
+	p.give(w, reply{Outcome: result.Done, Session: id, Token: lo.ToPtr(b.Token)})
 }
 
 // routed is a session's route and its group's runner.
@@ -132,7 +137,7 @@
 	id := r.PathValue("id")
 	v, ok := p.sessions.Load(id)
 	if !ok {
-		refuse(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
+		p.refuse(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
 		return id, nil
 	}
 	return id, v.(*routed)
@@ -145,7 +150,7 @@
 	}
 	p.sessions.Delete(id)
 	s.r.l.Post(querytable.Shut{Session: id})
-	give(w, reply{Outcome: result.Done, Session: id})
+	p.give(w, reply{Outcome: result.Done, Session: id})
 }
 
 func (p *Process) changeSession(w http.ResponseWriter, r *http.Request) {
@@ -157,11 +162,11 @@
 		Values   map[string]string `json:"values"`
 		Prepared map[string]string `json:"prepared"`
 	}
-	if !body(w, r, &b) {
+	if !p.body(w, r, &b) {
 		return
 	}
 	n := p.queryID.Add(1)
-	p.give(w, id, s.r.ask(n, querytable.Change{ID: n, Session: id, Values: b.Values, Prepared: b.Prepared}))
+	p.returned(w, id, s.r.ask(n, querytable.Change{ID: n, Session: id, Values: b.Values, Prepared: b.Prepared}))
 }
 
 type queryBody struct {
@@ -181,26 +186,26 @@
 		return
 	}
 	var b queryBody
-	if !body(w, r, &b) {
+	if !p.body(w, r, &b) {
 		return
 	}
 	if rt, ok := (*p.routes.Load())[s.route]; !ok {
-		refuse(w, result.UnknownRoute, s.route)
+		p.refuse(w, result.UnknownRoute, s.route)
 		return
 	} else if !slices.Contains(rt.Classes, b.Class) {
-		refuse(w, result.ClassNotOnRoute, b.Class)
+		p.refuse(w, result.ClassNotOnRoute, b.Class)
 		return
 	}
 	n := p.queryID.Add(1)
-	p.give(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
+	p.returned(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
 		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, ExpiryUs: b.ExpiryUs}))
 }
 
-func (p *Process) give(w http.ResponseWriter, session string, v querytable.Return) {
+func (p *Process) returned(w http.ResponseWriter, session string, v querytable.Return) {
 	if v.Code == result.UnknownSession {
 		p.sessions.Delete(session) // the table let it go after long idling
 	}
-	give(w, reply{Code: v.Code, Detail: v.Text, Outcome: v.Outcome, Session: session, Rows: v.Rows, RetryAfterUs: v.RetryAfterUs,
+	p.give(w, reply{Code: v.Code, Detail: v.Text, Outcome: v.Outcome, Session: session, Rows: v.Rows, RetryAfterUs: v.RetryAfterUs,
 		Token: lo.ToPtr(v.Token), Copy: v.Copy, Replica: v.Replica, Position: v.Position, Open: v.Open})
 }
 
--- a/pool/process.go
+++ b/pool/process.go
@@ -31,6 +31,10 @@
 	graceUs     = 3_000_000
 	pollExtra   = 500 * time.Millisecond
 	connectTime = time.Second
+	shutTime    = 300 * time.Millisecond
+	// tellTime is how long a stopping node stays to tell idle sessions that it
+	// stops: they hear of it with their next query.
+	tellTime = 1500 * time.Millisecond
 )
 
 // Process is one pool node: the core, a runner for each group, links and HTTP.
@@ -88,7 +92,15 @@
 		return errors.Join(err, ln.Close())
 	}
 	hs := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
-	cl.Push(hs.Close)
+	cl.Push(func() error {
+		// Returns under way are still written.
+		ctx, stop := context.WithTimeout(context.Background(), shutTime)
+		defer stop()
+		if err := hs.Shutdown(ctx); err != nil {
+			return hs.Close()
+		}
+		return nil
+	})
 	failed := make(chan error, 2)
 	go func() { failed <- p.links.Serve(ln) }()
 	go func() { failed <- hs.Serve(hl) }()
@@ -111,16 +123,16 @@
 	for _, r := range *p.groups.Load() {
 		r.l.Post(querytable.Stop{GraceUs: graceUs})
 	}
-	end := p.clock.After((graceUs + 500_000) * time.Microsecond)
+	end := p.clock.After((graceUs + 200_000) * time.Microsecond)
+	told := p.clock.Now().Add(tellTime)
 	t := p.clock.NewTicker(20 * time.Millisecond)
 	defer t.Stop()
-	for n := 0; ; n++ {
+	for {
 		busy := int64(0)
 		for _, r := range *p.groups.Load() {
 			busy += r.busy.Load()
 		}
-		// At least a moment is given for callers to hear of it.
-		if busy == 0 && n > 10 {
+		if busy == 0 && p.clock.Now().After(told) {
 			return
 		}
 		select {
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -210,6 +212,11 @@
 	v, err := s.post(context.WithoutCancel(ctx), "http://"+s.node+"/v1/sessions/"+s.id+"/queries", q)
 	if err != nil {
 		s.id = ""
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			// Nobody was there to take it.
+			return reply{Outcome: result.NothingKept, Code: result.UnknownSession, Detail: err.Error()}, true
+		}
 		return reply{Outcome: result.Uncertain, Code: -1, Detail: err.Error()}, true
 	}
 	if v.Token.Position > s.token.Position {
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -58,6 +58,7 @@
 	faults Faults
 	client *http.Client
 	kept   Kept
+	unpull context.CancelFunc // ends the pull under way
 }
 
 // NewServer opens the log in the folder and restores the copy from it.
@@ -117,6 +118,9 @@
 // keep writes what changed since the log was `had` long, and wakes who waits.
 func (s *Server) keep(had int64, cut bool) error {
 	if s.kept != s.c.Kept {
+		if s.unpull != nil {
+			s.unpull() // whom it follows may have changed
+		}
 		k := s.c.Kept
 		if err := s.append(diskEntry{Kept: &k}); err != nil {
 			return err
@@ -329,15 +333,20 @@
 			asked, epoch = s.c.Received(), k.Epoch
 		}
 		ae := s.c.EpochAt(asked)
+		pull, end := context.WithCancel(ctx)
+		s.unpull = end
 		s.mu.Unlock()
 		if k.Following == "" || f.StopReceiving || f.Dark {
+			end()
 			wait(ctx, ch, 20_000)
 			continue
 		}
 		u := fmt.Sprintf("http://%s/v1/log?epoch=%d&after=%d&after_epoch=%d&wait_us=500000", k.Following, k.Epoch, asked, ae)
 		var lr logReturn
-		if err := s.get(ctx, u, &lr); err != nil {
-			wait(ctx, nil, 50_000)
+		err := s.get(pull, u, &lr)
+		end()
+		if err != nil {
+			wait(ctx, ch, 50_000)
 			continue
 		}
 		if lr.Back >= 0 {
