A duty's holder is one run of a process; a permit carries its end

Cause: a control process that held a group's duty and came back (its disk lost or not) found itself in the register with term 1, took itself for the first holder and gave growth while permits of its earlier run were out; so did a holder whose look had lapsed for a moment, since it forgot its grants. Ruled out: the node's side (answers to earlier asks are void) and the tenth added to a permit's length. Now the register names the run; a named successor takes the duty up by a ballot of its own; grants are kept while the term is the same. A table also looks at the permit's end itself, so a node that was frozen wakes up with none.

--- a/control/core.go
+++ b/control/core.go
@@ -159,7 +159,7 @@
 		watch: neighbours.New(b.Listen), ctl: neighbours.New(b.Listen), down: map[string]bool{},
 		groups: map[string]*groupDuty{}, configs: map[string]*schema.Configuration{},
 		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, stamp: run}
-	c.duty = duties.New(b.Listen, b.Seeds, c.name)
+	c.duty = duties.New(b.Listen, run, b.Seeds, c.name)
 	return c
 }
 
@@ -497,9 +497,6 @@
 
 func (c *Core) groupTick(now int64, k string, g *groupDuty) {
 	acts := c.duty.Acts(dutyPrefix+k, now)
-	if !acts {
-		g.holder = nil
-	}
 	v := c.relay.Held(GroupPrefix + k)
 	in := takeover.Input{Places: g.places, First: g.setting.Primary, State: GroupState(v), Rev: v.GetRevision(), Known: true, Acts: acts, Reports: map[string]takeover.Report{}}
 	pre := roster.ReportPrefix + k + "/"
--- a/control/process.go
+++ b/control/process.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{boot: b, clock: clock, l: loop.New(clock, lineLength), dbs: databaseclient.New()}
+	p := &Process{boot: b, clock: clock, l: loop.New(clock, clock.Now(), lineLength), dbs: databaseclient.New()}
 	p.SetTokens(b.Tokens)
 	newCore := func() *Core {
 		return NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint32(n[:]))
--- a/duties/duties.go
+++ b/duties/duties.go
@@ -41,6 +41,9 @@
 	leaving  bool
 }
 
+// mine says whether a state names this run of this process.
+func (d *Duties) mine(u *duty) bool { return u.state.Holder == d.self && u.state.Run == d.run }
+
 // Effects of a step.
 type Effects struct {
 	Changes []ballots.Change
@@ -50,6 +53,7 @@
 // Duties is one candidate's view of all duties.
 type Duties struct {
 	self       string
+	run        uint64
 	candidates []string
 	name       func() string // makes names for changes
 	m          map[string]*duty
@@ -57,9 +61,10 @@
 	leaving    bool
 }
 
-// New makes a candidate; name must give a new name each time.
-func New(self string, candidates []string, name func() string) *Duties {
-	return &Duties{self: self, candidates: candidates, name: name, m: map[string]*duty{}}
+// New makes a candidate; run is another for each start of the process, name
+// must give a new name each time.
+func New(self string, run uint64, candidates []string, name func() string) *Duties {
+	return &Duties{self: self, run: run, candidates: candidates, name: name, m: map[string]*duty{}}
 }
 
 // Want names the duties there are.
@@ -85,7 +90,7 @@
 // Acts says whether this process holds the duty, as far as it can know.
 func (d *Duties) Acts(k string, now int64) bool {
 	u := d.m[k]
-	return u != nil && u.state.Holder == d.self && now < u.valid && !u.leaving
+	return u != nil && d.mine(u) && now < u.valid && !u.leaving
 }
 
 // Exclusive says whether surely no other process acts on the duty.
@@ -123,18 +128,21 @@
 			}
 			continue
 		}
-		if u.known && (u.state.Holder == "" || u.state.Holder != d.self && !alive(u.state.Holder)) && !d.leaving {
+		if u.known && (u.state.Holder == "" || !d.mine(u) && (u.state.Holder == d.self || !alive(u.state.Holder))) && !d.leaving {
 			if u.open == 0 {
 				u.open = now
 			}
-			if now-u.open >= d.rank(k, alive)*300_000 {
-				d.put(&fx, now, u, &schema.DutyState{Holder: d.self, Term: u.state.Term + 1})
+			// One that was named takes the duty up in its own run; the holder
+			// before it has stopped, and nobody has acted since.
+			named := u.state.Holder == d.self && u.state.Handed && u.state.Run == 0
+			if named || now-u.open >= d.rank(k, alive)*300_000 {
+				d.put(&fx, now, u, &schema.DutyState{Holder: d.self, Run: d.run, Term: u.state.Term + 1, Handed: named})
 				continue
 			}
 		} else {
 			u.open = 0
 		}
-		if d.leaving && u.state.Holder == d.self && u.known {
+		if d.leaving && d.mine(u) && u.known {
 			if n := d.successor(k, alive); n != "" {
 				u.leaving = true
 				d.put(&fx, now, u, &schema.DutyState{Holder: n, Term: u.state.Term + 1, Handed: true})
@@ -177,9 +185,9 @@
 	if o.Value.GetRevision() < u.revision {
 		return fx
 	}
-	was := u.state.Holder == d.self && u.state.Term == s.Term
+	was := d.mine(u) && u.state.Term == s.Term
 	u.state, u.revision, u.known = s, o.Value.GetRevision(), true
-	if s.Holder == d.self && asked > 0 {
+	if d.mine(u) && asked > 0 {
 		if !was {
 			u.since = now
 			fx.Taken = append(fx.Taken, u.key)
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -19,12 +19,13 @@
 	in    chan any
 }
 
-// New makes a loop with a line of the length given.
-func New(clock clockwork.Clock, length int) *Loop {
-	return &Loop{clock: clock, began: clock.Now(), in: make(chan any, length)}
+// New makes a loop with a line of the length given. began is the start of the
+// process: its loops tell each other times.
+func New(clock clockwork.Clock, began time.Time, length int) *Loop {
+	return &Loop{clock: clock, began: began, in: make(chan any, length)}
 }
 
-// NowUs is the loop's monotonic time; it starts at a second, so that 0 can
+// NowUs is the process's monotonic time; it starts at a second, so that 0 can
 // stand for never.
 func (l *Loop) NowUs() int64 { return l.clock.Since(l.began).Microseconds() + 1_000_000 }
 
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -6,7 +6,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"stoneford/schema"
 )
@@ -155,5 +154,5 @@
 	return int(a.caps[db])
 }
 
-// Databases are those a permit names.
-func (a *Asker) Databases() []string { return slices.Sorted(maps.Keys(a.caps)) }
+// UntilUs is when the permit runs out.
+func (a *Asker) UntilUs() int64 { return a.until }
--- /dev/null
+++ b/permits/permits_test.go
@@ -0,0 +1,94 @@
+package permits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+)
+
+// TestSumNeverPassesTheLimit: nodes come, freeze, die and lose messages, and
+// the duty changes hands, under two clocks that run up to 8 % apart; whatever
+// may be in use at any moment stays within the limit.
+func TestSumNeverPassesTheLimit(t *testing.T) {
+	const limit = 30
+	type node struct {
+		a      *Asker
+		rate   float64 // of its own clock
+		offset int64
+		silent int64 // neither asks nor hears until then
+		run    uint64
+	}
+	most := 0
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		h := NewHolder(0, true)
+		hRate, term := 1.0, 0
+		var ns []*node
+		add := func(now int64) {
+			ns = append(ns, &node{a: NewAsker("g", uint64(len(ns)+1)), run: uint64(len(ns) + 1), rate: 0.96 + 0.08*r.Float64(), offset: r.Int64N(1 << 40)})
+		}
+		add(0)
+		clock := func(n *node, now int64) int64 { return int64(float64(now)*n.rate) + n.offset }
+		for now := int64(1); now < 60_000_000; now += 50_000 {
+			switch {
+			case len(ns) < 8 && r.IntN(60) == 0:
+				add(now)
+			case r.IntN(80) == 0:
+				ns[r.IntN(len(ns))].silent = now + r.Int64N(12_000_000)
+			case r.IntN(400) == 0:
+				// Another holder, which remembers nothing; it begins when the
+				// one before has surely ended.
+				term++
+				h, hRate = NewHolder(int64(float64(now)*hRate), false), 0.96+0.08*r.Float64()
+				h = NewHolder(int64(float64(now)*hRate), false)
+			}
+			for i, n := range ns {
+				if now < n.silent {
+					continue
+				}
+				own := clock(n, now)
+				a := n.a.Tick(own, nil)
+				if a == nil || r.IntN(8) == 0 {
+					continue // lost
+				}
+				g := h.Ask(int64(float64(now)*hRate), fmt.Sprint(i), a, map[string]int32{"db": limit}, true)
+				if r.IntN(8) > 0 {
+					n.a.Give(own, g)
+				}
+			}
+			sum := 0
+			for _, n := range ns {
+				sum += n.a.Cap(clock(n, now), "db")
+			}
+			if sum > limit {
+				t.Fatalf("seed %d at %d us: %d of %d are permitted", seed, now, sum, limit)
+			}
+			most = max(most, sum)
+		}
+	}
+	if most < limit*8/10 {
+		t.Errorf("never more than %d of %d were permitted", most, limit)
+	}
+}
+
+func ExampleHolder() {
+	h := NewHolder(0, true)
+	a, b := NewAsker("stock", 1), NewAsker("stock", 2)
+	limits := map[string]int32{"stock-a": 10}
+	a.Give(0, h.Ask(0, "a", a.Tick(0, nil), limits, true))
+	fmt.Println(a.Cap(1, "stock-a")) // alone
+	b.Give(10, h.Ask(10, "b", b.Tick(10, nil), limits, true))
+	fmt.Println(b.Cap(11, "stock-a")) // a upholds all of it yet
+	now := int64(AskEvery)
+	a.Give(now, h.Ask(now, "a", a.Tick(now, nil), limits, true)) // shrinks
+	now += AskEvery
+	a.Give(now, h.Ask(now, "a", a.Tick(now, nil), limits, true)) // confirms
+	b.Give(now, h.Ask(now, "b", b.Tick(now, nil), limits, true))
+	fmt.Println(a.Cap(now, "stock-a"), b.Cap(now, "stock-a"))
+	// Output:
+	// 10
+	// 0
+	// 5 5
+}
+
--- a/pool/core.go
+++ b/pool/core.go
@@ -349,7 +349,7 @@
 		ids[m.Database] = m.Identity
 	}
 	for _, m := range cf.Groups[g.name].Members {
-		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m)})
+		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs()})
 	}
 	for n, s := range cf.Classes {
 		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, ExpiryUs: s.ExpiryUs}
--- a/pool/process.go
+++ b/pool/process.go
@@ -42,6 +42,7 @@
 	boot   *schema.Boot
 	run    uint64
 	clock  clockwork.Clock
+	began  time.Time
 	core   *Core
 	node   *loop.Loop
 	links  *links.Links
@@ -66,8 +67,9 @@
 
 // NewProcess makes a node.
 func NewProcess(b *schema.Boot, clock clockwork.Clock) *Process {
-	run := uint64(clock.Now().UnixMicro())
-	p := &Process{boot: b, run: run, clock: clock, core: NewCore(b, run), node: loop.New(clock, lineLength),
+	began := clock.Now()
+	run := uint64(began.UnixMicro())
+	p := &Process{boot: b, run: run, clock: clock, began: began, core: NewCore(b, run), node: loop.New(clock, began, lineLength),
 		dbs: databaseclient.New(), tables: map[string]*runner{}}
 	p.routes.Store(&map[string]Route{})
 	p.groups.Store(&map[string]*runner{})
@@ -177,7 +179,7 @@
 func (p *Process) want(w Want) {
 	r := p.tables[w.Group]
 	if r == nil {
-		r = &runner{p: p, group: w.Group, l: loop.New(p.clock, lineLength), t: querytable.New(seed())}
+		r = &runner{p: p, group: w.Group, l: loop.New(p.clock, p.began, lineLength), t: querytable.New(seed())}
 		p.tables[w.Group] = r
 		m := make(map[string]*runner, len(p.tables))
 		for k, v := range p.tables {
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -243,7 +243,7 @@
 			n++
 		}
 	}
-	if !ok || c.epoch != t.w.Epoch || c.address != w.Address || t.away(w) || n > w.Permit || c.session != "" {
+	if !ok || c.epoch != t.w.Epoch || c.address != w.Address || t.away(w) || n > w.permit(now) || c.session != "" {
 		t.closeConn(c)
 		return
 	}
@@ -298,7 +298,7 @@
 			t.loseConn(now, c)
 		default:
 			n[c.db]++
-			if free && c.ready && n[c.db] > w.Permit {
+			if free && c.ready && n[c.db] > w.permit(now) {
 				t.closeConn(c)
 				n[c.db]--
 			}
@@ -349,5 +349,5 @@
 // connections to a primary that answers and is followed.
 func (t *Table) Ready(now int64) bool {
 	p, ok := t.w.member(t.w.Primary)
-	return ok && p.Permit > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
+	return ok && p.permit(now) > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
 }
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -106,7 +106,7 @@
 		}
 		var cs []freshness.Copy
 		for _, m := range t.w.Members {
-			if m.Name == t.w.Primary || m.Permit == 0 || slices.Contains(q.avoid, m.Name) || !t.takesPart(now, m.Name) {
+			if m.Name == t.w.Primary || m.permit(now) == 0 || slices.Contains(q.avoid, m.Name) || !t.takesPart(now, m.Name) {
 				continue
 			}
 			cs = append(cs, freshness.Copy{Name: m.Name, Level: t.members[m.Name].status.Applied, BurdenUs: t.burden(now, m.Name),
@@ -160,7 +160,7 @@
 		t.bounceQuery(now, q, result.NoPrimary, retryPrimary)
 	case t.away(p):
 		t.bounceQuery(now, q, result.Leaving, retryPrimary)
-	case p.Permit == 0:
+	case p.permit(now) == 0:
 		t.bounceQuery(now, q, result.NoConnections, retryPrimary)
 	default:
 		q.db, q.state, q.waited, q.epoch = p.Name, lining, now, t.w.Epoch
@@ -222,7 +222,7 @@
 				}
 			}
 		}
-		for ; opening < want[m.Name] && n < m.Permit && now >= t.members[m.Name].openAgain; opening, n = opening+1, n+1 {
+		for ; opening < want[m.Name] && n < m.permit(now) && now >= t.members[m.Name].openAgain; opening, n = opening+1, n+1 {
 			id := t.id()
 			t.conns[id] = &conn{id: id, db: m.Name, address: m.Address, epoch: t.w.Epoch, since: now}
 			t.counts.Opens++
--- a/querytable/sessions.go
+++ b/querytable/sessions.go
@@ -143,10 +143,10 @@
 			}
 		}
 		if n >= t.w.Line {
-			bounce(result.LineFull, "", max(retryShort, sum/int64(max(1, t.permits()))))
+			bounce(result.LineFull, "", max(retryShort, sum/int64(max(1, t.permits(now)))))
 			return
 		}
-		if est := sum/int64(max(1, t.permits())) + t.avgRun(cl.Name, ""); est > x {
+		if est := sum/int64(max(1, t.permits(now))) + t.avgRun(cl.Name, ""); est > x {
 			bounce(result.ExpiryTooNear, "", max(retryShort, est-x))
 			return
 		}
@@ -160,10 +160,10 @@
 	}
 }
 
-func (t *Table) permits() int {
+func (t *Table) permits(now int64) int {
 	n := 0
 	for _, m := range t.w.Members {
-		n += m.Permit
+		n += m.permit(now)
 	}
 	return n
 }
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -19,10 +19,19 @@
 	Name     string
 	Identity string // as agreed; a copy with another one does not count
 	Address  string
-	Permit   int // connections this node may hold
+	Permit   int   // connections this node may hold
+	UntilUs  int64 // and until when
 	Drained  bool
 }
 
+// permit is what may be held now: a node that was frozen wakes up with none.
+func (m Member) permit(now int64) int {
+	if now >= m.UntilUs {
+		return 0
+	}
+	return m.Permit
+}
+
 // Class is a query class's promise.
 type Class struct {
 	Name     string
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -316,6 +316,7 @@
 				said = append(said, pool.TableSaid{Group: k, Views: n.tables[k].Views(f.Now), InUse: in})
 			}
 			f.stepNode(n, said...)
+			f.checkPermits()
 		}
 		f.After(10_000, tick)
 	}
@@ -363,6 +364,28 @@
 	}
 }
 
+// checkPermits: what all nodes together may open never passes the limit.
+func (f *Fleet) checkPermits() {
+	sum := map[string]int{}
+	for _, n := range f.Nodes {
+		if !n.up || n.paused {
+			continue
+		}
+		for _, w := range n.wanted {
+			for _, m := range w.Members {
+				if f.Now < m.UntilUs {
+					sum[m.Name] += m.Permit
+				}
+			}
+		}
+	}
+	for db, s := range sum {
+		if s > int(f.Plan.Connections) {
+			f.Bad("nodes are permitted %d connections to %s, the limit is %d", s, db, f.Plan.Connections)
+		}
+	}
+}
+
 func (f *Fleet) stepTable(n *nodeProc, group string, evs ...any) {
 	t := n.tables[group]
 	for _, e := range t.Step(f.Now, evs...) {
