--- a/bootfile/bootfile.go
+++ b/bootfile/bootfile.go
@@ -3,9 +3,11 @@
 package bootfile
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strings"
@@ -68,6 +70,17 @@
 	return Check(b)
 }
 
+// Listen opens the two listeners of a process.
+func Listen(b *schema.Boot) (nodes, http net.Listener, err error) {
+	if nodes, err = net.Listen("tcp", cmp.Or(b.Bind, b.Listen)); err != nil {
+		return nil, nil, err
+	}
+	if http, err = net.Listen("tcp", cmp.Or(b.BindHttp, b.Http)); err != nil {
+		return nil, nil, errs.Combine(err, nodes.Close())
+	}
+	return nodes, http, nil
+}
+
 // Check reads boot settings from JSON text.
 func Check(b []byte) (*schema.Boot, error) {
 	s := &schema.Boot{}
--- a/control/process.go
+++ b/control/process.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 
+	"stoneford/bootfile"
 	"stoneford/cleanup"
 	"stoneford/databaseclient"
 	"stoneford/links"
@@ -108,14 +108,10 @@
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	p.ctx, p.fail = work, func(err error) { stop(err) }
 	p.links = links.New(work, p.boot.Listen, func(e *schema.Envelope) { p.l.Offer(e) })
-	ln, err := net.Listen("tcp", p.boot.Listen)
+	ln, hl, err := bootfile.Listen(p.boot)
 	if err != nil {
 		return err
 	}
-	hl, err := net.Listen("tcp", p.boot.Http)
-	if err != nil {
-		return errors.Join(err, ln.Close())
-	}
 	hs := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
 	cl.Push(hs.Close)
 	ended := make(chan struct{})
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-
 )
 
 // TestSumNeverPassesTheLimit: nodes come, freeze, die and lose messages, and
@@ -17,16 +16,15 @@
 		rate   float64 // of its own clock
 		offset int64
 		silent int64 // neither asks nor hears until then
-		run    uint64
 	}
 	most := 0
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 9))
 		h := NewHolder(0, true)
-		hRate, term := 1.0, 0
+		hRate := 1.0
 		var ns []*node
 		add := func(now int64) {
-			ns = append(ns, &node{a: NewAsker("g", uint64(len(ns)+1)), run: uint64(len(ns) + 1), rate: 0.96 + 0.08*r.Float64(), offset: r.Int64N(1 << 40)})
+			ns = append(ns, &node{a: NewAsker("g", uint64(len(ns)+1)), rate: 0.96 + 0.08*r.Float64(), offset: r.Int64N(1 << 40)})
 		}
 		add(0)
 		clock := func(n *node, now int64) int64 { return int64(float64(now)*n.rate) + n.offset }
@@ -39,8 +37,7 @@
 			case r.IntN(400) == 0:
 				// Another holder, which remembers nothing; it begins when the
 				// one before has surely ended.
-				term++
-				h, hRate = NewHolder(int64(float64(now)*hRate), false), 0.96+0.08*r.Float64()
+				hRate = 0.96 + 0.08*r.Float64()
 				h = NewHolder(int64(float64(now)*hRate), false)
 			}
 			for i, n := range ns {
@@ -91,4 +88,3 @@
 	// 0
 	// 5 5
 }
-
--- a/pool/process.go
+++ b/pool/process.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
+	"stoneford/bootfile"
 	"stoneford/cleanup"
 	"stoneford/databaseclient"
 	"stoneford/links"
@@ -85,14 +85,10 @@
 	cl.Push(func() error { stop(); return nil })
 	p.ctx = work
 	p.links = links.New(work, p.boot.Listen, func(e *schema.Envelope) { p.node.Offer(e) })
-	ln, err := net.Listen("tcp", p.boot.Listen)
+	ln, hl, err := bootfile.Listen(p.boot)
 	if err != nil {
 		return err
 	}
-	hl, err := net.Listen("tcp", p.boot.Http)
-	if err != nil {
-		return errors.Join(err, ln.Close())
-	}
 	hs := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
 	cl.Push(func() error {
 		// Returns under way are still written.
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -23,6 +23,18 @@
 	f.startControl(f.Controls[i])
 }
 
+// StopControl stops a control process as its daemon does on SIGTERM.
+func (f *Fleet) StopControl(i int) {
+	c := f.Controls[i]
+	f.toControl(c, c.gen, control.Stop{})
+	g := c.gen
+	f.After(1_000_000, func() {
+		if c.gen == g {
+			c.up = false
+		}
+	})
+}
+
 // KillNode ends a pool node at once.
 func (f *Fleet) KillNode(i int) { f.Nodes[i].up = false }
 
@@ -271,9 +283,14 @@
 		d.c.Leaving = true
 		later(2_000_000, 10_000_000, func() { d.c.Leaving = false })
 	case 9:
-		f.say("fault: kill %s", f.Controls[ci].boot.Name)
-		f.KillControl(ci)
-		later(300_000, 6_000_000, func() { f.StartControl(ci, false) })
+		if f.Chance(0.5) {
+			f.say("fault: stop %s", f.Controls[ci].boot.Name)
+			f.StopControl(ci)
+		} else {
+			f.say("fault: kill %s", f.Controls[ci].boot.Name)
+			f.KillControl(ci)
+		}
+		later(1_100_000, 6_000_000, func() { f.StartControl(ci, false) })
 	case 10:
 		f.say("fault: lose the disk of %s", f.Controls[ci].boot.Name)
 		f.KillControl(ci)
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -39,6 +39,11 @@
 	"stop-applying":  "database: applies no log",
 	"leave":          "database: announces that it leaves",
 	"stay":           "database: takes that back",
+	"cut":            "cut the process off: what is on the way stops, nothing is closed",
+	"mend":           "end cut and drop",
+	"reset":          "reset every connection to the process",
+	"drop":           "of what comes to the process, so many of 100 pieces arrive 200 ms late",
+	"join":           "a new machine joins (the target is any word)",
 }
 
 // ParseFaults reads a schedule such as "10s:kill:primary@inventory-1,20s:lag:inventory-1-b:400000".
@@ -73,6 +78,9 @@
 // Do brings one fault about and returns the process it hit.
 func (f *Fleet) Do(ctx context.Context, ft Fault) (string, error) {
 	n := ft.Target
+	if ft.Action == "join" {
+		return f.Join(ctx)
+	}
 	if g, ok := strings.CutPrefix(n, "primary@"); ok {
 		n = f.Primary(ctx, g)
 	} else if g, ok := strings.CutPrefix(n, "replica@"); ok {
@@ -125,6 +133,20 @@
 		return n, set(databasecopy.Faults{ServiceUs: plain, StopReceiving: true})
 	case "stop-applying":
 		return n, set(databasecopy.Faults{ServiceUs: plain, StopApplying: true})
+	case "cut", "mend", "reset", "drop":
+		for _, k := range p.links {
+			switch ft.Action {
+			case "cut":
+				k.Cut(true)
+			case "mend":
+				k.Cut(false)
+				k.Loss(0)
+			case "reset":
+				k.Reset()
+			case "drop":
+				k.Loss(float64(ft.Value) / 100)
+			}
+		}
 	case "leave", "stay":
 		return n, databasecopy.Call(ctx, "http://"+p.http+"/v1/leave", map[string]bool{"leaving": ft.Action == "leave"}, nil)
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,6 +24,7 @@
 	"stoneford/control"
 	"stoneford/operators"
 	"stoneford/standin/databasecopy"
+	"stoneford/standin/link"
 )
 
 // Shape is a deployment's sizes.
@@ -49,7 +51,8 @@
 	kind   string
 	args   []string
 	folder string // its data folder, wiped when it is lost for good
-	http   string
+	http   string // where the runner itself reaches it, past its links
+	links  []*link.Link
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	done   chan struct{}
@@ -66,6 +69,9 @@
 	addr   map[string]string // databases' addresses
 	ops    []string          // operators' addresses
 	plat   string
+	seeds  []string
+	nodes  []string // callers' addresses of all pool nodes
+	free   []string // ports not taken yet
 	died   []string
 	mu     sync.Mutex
 	clean  cleanup.Stack
@@ -110,24 +116,28 @@
 // New lays a fleet out; nothing runs yet.
 func New(s Shape, bin, folder string) (*Fleet, error) {
 	f := &Fleet{Shape: s, bin: bin, folder: folder, procs: map[string]*proc{}, addr: map[string]string{}}
-	dbs := 3 * len(s.Groups)
-	ps, err := ports(1 + 2*3 + 2*s.Machines + dbs)
+	// Every process listens on a port of its own behind a link that others
+	// reach it through; some ports are kept for machines that join later.
+	ps, err := ports(1 + 2*(2*3+2*(s.Machines+spare)+3*len(s.Groups)))
 	if err != nil {
 		return nil, err
 	}
-	take := func() string { p := ps[0]; ps = ps[1:]; return p }
+	f.free = ps
+	take := f.take
 	f.plat = take()
-	var seeds, nodes []string
 	for range 3 {
-		seeds = append(seeds, take())
+		f.seeds = append(f.seeds, take())
 	}
+	seeds := f.seeds
 	for _, g := range s.Groups {
 		for i := range 3 {
 			n := fmt.Sprintf("%s-%c", g, 'a'+i)
 			f.addr[n] = take()
-			d := filepath.Join(folder, n)
-			f.add(&proc{name: n, kind: "standin-database", folder: d, http: f.addr[n],
-				args: []string{"--name", n, "--listen", f.addr[n], "--folder", d, "--connections", fmt.Sprint(s.Connections)}})
+			d, at := filepath.Join(folder, n), take()
+			p := &proc{name: n, kind: "standin-database", folder: d, http: at}
+			f.link(p, f.addr[n], at)
+			p.args = []string{"--name", n, "--listen", at, "--folder", d, "--connections", fmt.Sprint(s.Connections)}
+			f.add(p)
 		}
 	}
 	for i := range 3 {
@@ -135,32 +145,94 @@
 		h := take()
 		f.ops = append(f.ops, h)
 		d := filepath.Join(folder, n)
-		f.boot(n, "stoneford-control", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": seeds[i], "http": h,
-			"seeds": seeds, "data_folder": d, "platform": f.plat, "tokens": map[string]string{s.Partner: Token}})
+		if err := f.boot(n, "stoneford-control", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": seeds[i], "http": h,
+			"seeds": seeds, "data_folder": d, "platform": f.plat, "tokens": map[string]string{s.Partner: Token}}); err != nil {
+			return nil, err
+		}
 	}
-	for i := range s.Machines {
-		n := fmt.Sprintf("pool-%d", i+1)
-		l, h := take(), take()
-		nodes = append(nodes, h)
-		f.boot(n, "stoneford-pool", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": l, "http": h, "seeds": seeds})
+	for range s.Machines {
+		if _, err := f.addPool(); err != nil {
+			return nil, err
+		}
 	}
-	f.add(&proc{name: "platform", kind: "standin-platform", http: f.plat, args: []string{"--listen", f.plat, "--nodes", strings.Join(nodes, ",")}})
+	f.add(&proc{name: "platform", kind: "standin-platform", http: f.plat, args: []string{"--listen", f.plat, "--nodes", strings.Join(f.nodes, ",")}})
 	return f, nil
 }
 
+// spare is how many machines may join later.
+const spare = 4
+
+func (f *Fleet) take() string {
+	p := f.free[0]
+	f.free = f.free[1:]
+	return p
+}
+
+// addPool lays one more pool node out.
+func (f *Fleet) addPool() (string, error) {
+	i := len(f.nodes)
+	n, h := fmt.Sprintf("pool-%d", i+1), f.take()
+	f.nodes = append(f.nodes, h)
+	return n, f.boot(n, "stoneford-pool", map[string]any{"name": n, "zone": f.Shape.Zones[i%3], "partner": f.Shape.Partner,
+		"listen": f.take(), "http": h, "seeds": f.seeds})
+}
+
+// Join has a new machine join: its node is started and the platform told.
+func (f *Fleet) Join(ctx context.Context) (string, error) {
+	if len(f.free) < 4 {
+		return "", errors.New("no more machines are kept")
+	}
+	n, err := f.addPool()
+	if err != nil {
+		return n, err
+	}
+	if err := f.start(f.procs[n]); err != nil {
+		return n, err
+	}
+	b, err := json.Marshal(f.nodes)
+	if err != nil {
+		return n, err
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.plat+"/v1/nodes", bytes.NewReader(b))
+	if err != nil {
+		return n, err
+	}
+	r, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return n, err
+	}
+	return n, r.Body.Close()
+}
+
+// link puts a link in front of a process.
+func (f *Fleet) link(p *proc, addr, target string) {
+	k := link.New(addr, target)
+	p.links = append(p.links, k)
+	f.clean.Push(k.Close)
+}
+
 func (f *Fleet) add(p *proc) { f.procs[p.name] = p; f.order = append(f.order, p.name) }
 
-func (f *Fleet) boot(name, kind string, m map[string]any) {
+func (f *Fleet) boot(name, kind string, m map[string]any) error {
+	p := &proc{name: name, kind: kind}
+	for _, k := range [][2]string{{"listen", "bind"}, {"http", "bind_http"}} {
+		at := f.take()
+		f.link(p, m[k[0]].(string), at)
+		m[k[1]] = at
+		p.http = at
+	}
 	b, err := json.MarshalIndent(m, "", "  ")
 	if err != nil {
-		panic(err)
+		return err
 	}
-	p := filepath.Join(f.folder, name+".json")
-	if err := os.WriteFile(p, b, 0o644); err != nil {
-		panic(err)
+	file := filepath.Join(f.folder, name+".json")
+	if err := os.WriteFile(file, b, 0o644); err != nil {
+		return err
 	}
-	d, _ := m["data_folder"].(string)
-	f.add(&proc{name: name, kind: kind, folder: d, http: m["http"].(string), args: []string{"--boot", p}})
+	p.folder, _ = m["data_folder"].(string)
+	p.args = []string{"--boot", file}
+	f.add(p)
+	return nil
 }
 
 // Settings is the shape's configuration.
@@ -207,9 +279,17 @@
 	}
 	p.cmd, p.done, p.wanted = c, make(chan struct{}), false
 	done := p.done
+	for _, k := range p.links {
+		if err := k.Up(); err != nil {
+			return err
+		}
+	}
 	go func() {
 		err := c.Wait()
 		lf.Close()
+		for _, k := range p.links {
+			err = errors.Join(err, k.Down())
+		}
 		p.mu.Lock()
 		if !p.wanted {
 			f.mu.Lock()
@@ -354,7 +434,7 @@
 			if p == "" {
 				return fmt.Errorf("%s has no primary", g)
 			}
-			r, err := http.Get("http://" + f.addr[p] + "/truth/log")
+			r, err := http.Get("http://" + f.procs[p].http + "/truth/log")
 			if err != nil {
 				return err
 			}
