--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -401,3 +401,15 @@
 	slices.Sort(ts)
 	return ts
 }
+
+// InForce is the least revision of a partner's configuration that any living
+// node works by.
+func (f *Fleet) InForce(p string) uint64 {
+	least := ^uint64(0)
+	for _, n := range f.Nodes {
+		if n.up {
+			least = min(least, n.core.InForce()[control.ConfigPrefix+p])
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/standin/fleet/callers_test.go
@@ -0,0 +1,147 @@
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"stoneford/result"
+	"stoneford/standin/fleet"
+)
+
+// TestCallersErrors: each wrong call has its own code and no effect.
+func TestCallersErrors(t *testing.T) {
+	ctx, stop := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer stop()
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "bin")
+	if err := fleet.Build(ctx, "../..", bin); err != nil {
+		t.Fatal(err)
+	}
+	sh := fleet.Shapes["small"]
+	sh.Machines = 2
+	f, err := fleet.New(sh, bin, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	node := f.Nodes()[0]
+	type reply struct {
+		Code    result.Code    `json:"code"`
+		Outcome result.Outcome `json:"outcome"`
+		Session string         `json:"session"`
+		Open    bool           `json:"open"`
+		Rows    [][][]string   `json:"rows"`
+		Detail  string         `json:"detail"`
+		Token   any            `json:"token"`
+	}
+	post := func(path, body string) reply {
+		t.Helper()
+		r, err := http.Post("http://"+node+path, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		var v reply
+		if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+			t.Fatal(err)
+		}
+		if want := v.Code.Row().HTTP; r.StatusCode != want {
+			t.Errorf("%s %s: code %d came with %d, not %d", path, body, v.Code, r.StatusCode, want)
+		}
+		return v
+	}
+	open := func() string { t.Helper(); return post("/v1/sessions", `{"route":"pharmacies/inventory-1"}`).Session }
+	s := open()
+	q := "/v1/sessions/" + s + "/queries"
+	write := `"statements":[{"text":"add wrong x 1"}]`
+	for _, c := range []struct {
+		path, body string
+		want       result.Code
+	}{
+		{"/v1/sessions", `{`, result.BadJSON},
+		{"/v1/sessions", `{"route":"pharmacies/inventory-1"} {}`, result.BadJSON},
+		{"/v1/sessions", `{"rout":"pharmacies/inventory-1"}`, result.BadJSON},
+		{"/v1/sessions", `{"route":"pharmacies/none"}`, result.UnknownRoute},
+		{"/v1/sessions", `{"route":"pharmacies/inventory-1","session":"` + s + `"}`, result.SessionExists},
+		{"/v1/sessions", `{"route":"pharmacies/inventory-1","token":{"group":"lender/ledger-1","epoch":1,"position":1}}`, result.BadToken},
+		{"/v1/sessions", `{"route":"` + strings.Repeat("x", 1<<20) + `"}`, result.TooLarge},
+		{"/v1/sessions/none/queries", `{"class":"reserve",` + write + `}`, result.UnknownSession},
+		{q, `{"class":"gold",` + write + `}`, result.ClassNotOnRoute},
+		{q, `{"class":"reserve"}`, result.BadQuery},
+		{q, `{"class":"reserve","statements":[{"text":"add wrong x 1"},{"text":"add wrong x 1"}]}`, result.BadQuery},
+		{q, `{"class":"lookup","begin":true,` + write + `}`, result.BadQuery},
+		{q, `{"class":"reserve","commit":true,` + write + `}`, result.OutsideTransaction},
+		{q, `{"class":"reserve","rollback":true}`, result.OutsideTransaction},
+		{q, `{"class":"reserve","statements":[{"prepared":"nobody"}]}`, result.UnknownPrepared},
+		{q, `{"class":"reserve","statements":[{"text":"drop everything"}]}`, result.StatementFailed},
+		{q, `{"class":"lookup",` + write + `}`, result.StatementFailed},
+		{q, `{"class":"pickup",` + write + `}`, result.StatementFailed},
+		{q, `{"class":"reserve","read_only":true,` + write + `}`, result.StatementFailed},
+		{q, `{"class":"reserve","statements":[{"text":"add wrong x 1","params":["1"]}]}`, result.StatementFailed},
+	} {
+		v := post(c.path, c.body)
+		if v.Code != c.want || v.Outcome != result.NothingKept {
+			t.Errorf("%s %.80s: %d %q, not %d", c.path, c.body, v.Code, v.Outcome, c.want)
+		}
+	}
+	// A query asked twice by its own id runs once.
+	for range 3 {
+		if v := post(q, `{"query":"once","class":"reserve","statements":[{"text":"add right y 1"}]}`); v.Code != result.OK || v.Rows[0][0][0] != "1" {
+			t.Errorf("asked again by its id: %+v", v)
+		}
+	}
+	// A transaction, values in it, and a second begin.
+	if v := post(q, `{"class":"reserve","begin":true,"statements":[{"text":"add right y 10"}]}`); v.Code != result.OK || !v.Open {
+		t.Errorf("begin: %+v", v)
+	}
+	if v := post(q, `{"class":"reserve","begin":true}`); v.Code != result.OutsideTransaction || !v.Open {
+		t.Errorf("begin in a transaction: %+v", v)
+	}
+	if v := post("/v1/sessions/"+s+"/values", `{"values":{"a":"b"}}`); v.Code != result.InTransaction {
+		t.Errorf("values in a transaction: %+v", v)
+	}
+	if v := post(q, `{"class":"reserve","rollback":true}`); v.Code != result.OK || v.Open {
+		t.Errorf("rollback: %+v", v)
+	}
+	// Two callers of one session at once: one is served, the other told so.
+	codes := map[result.Code]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	if _, err := f.Do(ctx, fleet.Fault{Action: "slow", Target: "primary@inventory-1", Value: 300_000}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		wg.Go(func() {
+			v := post(q, `{"class":"reserve","statements":[{"text":"add right y 1"}]}`)
+			mu.Lock()
+			codes[v.Code]++
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	if codes[result.OK] != 1 || codes[result.SessionInUse] != 1 {
+		t.Errorf("two callers at once: %v", codes)
+	}
+	v := post(q, `{"class":"reserve","statements":[{"text":"read right y wrong x"}]}`)
+	if v.Code != result.OK || v.Rows[0][0][0] != "2" || v.Rows[0][1][0] != "0" {
+		t.Errorf("in the end y and x are %+v, not 2 and 0", v.Rows)
+	}
+	if r, err := http.NewRequest(http.MethodDelete, "http://"+node+"/v1/sessions/"+s, bytes.NewReader(nil)); err == nil {
+		if rs, err := http.DefaultClient.Do(r); err != nil || rs.StatusCode != http.StatusOK {
+			t.Errorf("the session's end: %v %v", rs, err)
+		}
+	}
+	if v := post(q, `{"class":"reserve",`+write+`}`); v.Code != result.UnknownSession {
+		t.Errorf("a query of an ended session: %+v", v)
+	}
+}
