--- a/duties/duties.go
+++ b/duties/duties.go
@@ -197,21 +197,10 @@
 	return fx
 }
 
-func (d *Duties) ranked(k string) []string {
-	cs := slices.Clone(d.candidates)
-	slices.SortFunc(cs, func(a, b string) int {
-		if step.Hash(k, a) < step.Hash(k, b) {
-			return -1
-		}
-		return 1
-	})
-	return cs
-}
-
 // rank counts the living candidates ahead of this one.
 func (d *Duties) rank(k string, alive func(string) bool) int64 {
 	n := int64(0)
-	for _, c := range d.ranked(k) {
+	for _, c := range step.Rank(k, d.candidates) {
 		if c == d.self {
 			break
 		}
@@ -223,7 +212,7 @@
 }
 
 func (d *Duties) successor(k string, alive func(string) bool) string {
-	for _, c := range d.ranked(k) {
+	for _, c := range step.Rank(k, d.candidates) {
 		if c != d.self && alive(c) {
 			return c
 		}
--- a/neighbours/neighbours.go
+++ b/neighbours/neighbours.go
@@ -43,17 +43,7 @@
 // Of names who watches a node: the first few of all others, ranked by the hash
 // of the pair. Every node that knows the same others names the same ones.
 func Of(node string, all []string) []string {
-	os := slices.DeleteFunc(slices.Clone(all), func(o string) bool { return o == node })
-	slices.SortFunc(os, func(a, b string) int {
-		ha, hb := step.Hash(node, a), step.Hash(node, b)
-		switch {
-		case ha < hb:
-			return -1
-		case ha > hb:
-			return 1
-		}
-		return 0
-	})
+	os := step.Rank(node, slices.DeleteFunc(slices.Clone(all), func(o string) bool { return o == node }))
 	return os[:min(Watchers, len(os))]
 }
 
--- a/pool/core.go
+++ b/pool/core.go
@@ -251,13 +251,7 @@
 		if fx.Changed[n] {
 			c.say(result.NeighbourSuspected, "%s", n)
 		}
-		d := &schema.SuspectRecord{Suspected: fx.Changed[n]}
-		for _, o := range c.nodes {
-			if o.Address == n {
-				d.Run = o.Run
-			}
-		}
-		c.tell(c.write(now, roster.SuspectKey(n, c.self), d), c.boot.Seeds...)
+		c.tell(c.write(now, roster.SuspectKey(n, c.self), roster.Suspicion(c.nodes, n, fx.Changed[n])), c.boot.Seeds...)
 	}
 }
 
--- a/relaytree/relaytree.go
+++ b/relaytree/relaytree.go
@@ -58,16 +58,7 @@
 	if !r.isRoot && !slices.Contains(r.live, r.self) {
 		r.live = append(r.live, r.self)
 	}
-	slices.SortFunc(r.live, func(a, b string) int {
-		ha, hb := step.Hash("relay", a), step.Hash("relay", b)
-		switch {
-		case ha < hb:
-			return -1
-		case ha > hb:
-			return 1
-		}
-		return 0
-	})
+	r.live = step.Rank("relay", r.live)
 }
 
 // Held returns what is held of a key.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -83,3 +83,15 @@
 	}
 	return as
 }
+
+// Suspicion is the record a watcher writes of a node: it holds for the node's
+// run of now only.
+func Suspicion(ns []Node, node string, suspected bool) *schema.SuspectRecord {
+	d := &schema.SuspectRecord{Suspected: suspected}
+	for _, n := range ns {
+		if n.Address == node {
+			d.Run = n.Run
+		}
+	}
+	return d
+}
--- a/standin/fleet/callers_test.go
+++ b/standin/fleet/callers_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"net/http"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"stoneford/result"
 	"stoneford/standin/fleet"
@@ -17,23 +14,7 @@
 
 // TestCallersErrors: each wrong call has its own code and no effect.
 func TestCallersErrors(t *testing.T) {
-	ctx, stop := context.WithTimeout(context.Background(), 3*time.Minute)
-	defer stop()
-	dir := t.TempDir()
-	bin := filepath.Join(dir, "bin")
-	if err := fleet.Build(ctx, "../..", bin); err != nil {
-		t.Fatal(err)
-	}
-	sh := fleet.Shapes["small"]
-	sh.Machines = 2
-	f, err := fleet.New(sh, bin, dir)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	if err := f.Start(ctx); err != nil {
-		t.Fatal(err)
-	}
+	ctx, f := started(t, 2)
 	node := f.Nodes()[0]
 	type reply struct {
 		Code    result.Code    `json:"code"`
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -12,31 +12,39 @@
 	"stoneford/standin/fleet"
 )
 
-// TestProcessesThroughATakeover runs the small shape as real processes: the
-// primary is killed under load, and the run goes on until writes are
-// acknowledged again; then the old primary and an emptied control process come
-// back, and what callers were told is held against what the databases hold.
-func TestProcessesThroughATakeover(t *testing.T) {
+// started is a small fleet of real processes with all nodes ready.
+func started(t *testing.T, machines int) (context.Context, *fleet.Fleet) {
+	t.Helper()
 	ctx, stop := context.WithTimeout(context.Background(), 3*time.Minute)
-	defer stop()
+	t.Cleanup(stop)
 	dir := t.TempDir()
 	bin := filepath.Join(dir, "bin")
 	if err := fleet.Build(ctx, "../..", bin); err != nil {
 		t.Fatal(err)
 	}
 	sh := fleet.Shapes["small"]
+	sh.Machines = machines
 	f, err := fleet.New(sh, bin, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() {
+	t.Cleanup(func() {
 		if err := f.Close(); err != nil {
 			t.Error(err)
 		}
-	}()
+	})
 	if err := f.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
+	return ctx, f
+}
+
+// TestProcessesThroughATakeover runs the small shape as real processes: the
+// primary is killed under load, and the run goes on until writes are
+// acknowledged again; then the old primary and an emptied control process come
+// back, and what callers were told is held against what the databases hold.
+func TestProcessesThroughATakeover(t *testing.T) {
+	ctx, f := started(t, 4)
 	lctx, end := context.WithCancel(ctx)
 	defer end()
 	r := callers.New(callers.Load{Routes: f.Routes(), Sessions: 20, Rate: 60, Seed: 1, Nodes: f.Nodes})
@@ -63,7 +71,7 @@
 		return hit
 	}
 	acked(0)
-	old := do("kill", "primary@"+sh.Groups[0])
+	old := do("kill", "primary@"+f.Shape.Groups[0])
 	acked(time.Now().UnixMicro())
 	do("start", old)
 	do("wipe", "control-2")
--- a/step/step.go
+++ b/step/step.go
@@ -4,7 +4,9 @@
 package step
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 
 	"stoneford/schema"
 )
@@ -31,3 +33,11 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Rank orders names by the hash of key and name, as every process does: the
+// rendezvous of whoever knows the same names.
+func Rank(key string, names []string) []string {
+	ns := slices.Clone(names)
+	slices.SortFunc(ns, func(a, b string) int { return cmp.Compare(Hash(key, a), Hash(key, b)) })
+	return ns
+}
