--- /dev/null
+++ b/language/language_test.go
@@ -0,0 +1,103 @@
+package language
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"stoneford/bookings"
+)
+
+var (
+	zone   = time.FixedZone("EET", 2*3600)
+	now    = time.Date(2026, 12, 1, 23, 30, 0, 0, zone)
+	places = []Place{
+		{Name: "inventory-1-a", Partner: "pharmacies", Group: "pharmacies/inventory-1", Zone: "cluj", Primary: true},
+		{Name: "inventory-1-b", Partner: "pharmacies", Group: "pharmacies/inventory-1", Zone: "iasi"},
+		{Name: "inventory-2-a", Partner: "pharmacies", Group: "pharmacies/inventory-2", Zone: "iasi", Primary: true},
+		{Name: "inventory-2-b", Partner: "pharmacies", Group: "pharmacies/inventory-2", Zone: "cluj"},
+		{Name: "pool-1", Machine: true, Partner: "lender", Zone: "cluj"},
+		{Name: "pool-2", Machine: true, Partner: "lender", Zone: "iasi"},
+	}
+)
+
+func TestSentences(t *testing.T) {
+	for text, want := range map[string]Sentence{
+		"book the Cluj replica for replacement at 02:00":       {Verb: VerbBook, Kind: bookings.Replacement, At: time.Date(2026, 12, 2, 2, 0, 0, 0, zone)},
+		"book pool-1 for stop at 23:45":                        {Verb: VerbBook, Kind: bookings.Stop, At: time.Date(2026, 12, 1, 23, 45, 0, 0, zone)},
+		"Book inventory-1-a for switch at tomorrow 04:05":      {Verb: VerbBook, Kind: bookings.Switch, At: time.Date(2026, 12, 2, 4, 5, 0, 0, zone)},
+		"book inventory-1-a for switch at 04:05 2026-12-24":    {Verb: VerbBook, Kind: bookings.Switch, At: time.Date(2026, 12, 24, 4, 5, 0, 0, zone)},
+		"book inventory-1-a for switch on 2026-12-24 at 04:05": {Verb: VerbBook, Kind: bookings.Switch, At: time.Date(2026, 12, 24, 4, 5, 0, 0, zone)},
+		"confirm booking 3":                                    {Verb: VerbConfirm, Booking: 3},
+		"cancel #4":                                            {Verb: VerbCancel, Booking: 4},
+		"move booking 3 to tomorrow 05:00":                     {Verb: VerbMove, Booking: 3, At: time.Date(2026, 12, 2, 5, 0, 0, 0, zone)},
+		"what is booked?":                                      {Verb: VerbBooked},
+		"what is booked tomorrow":                              {Verb: VerbBooked, From: time.Date(2026, 12, 2, 0, 0, 0, 0, zone), Until: time.Date(2026, 12, 3, 0, 0, 0, 0, zone)},
+		"what is booked on 2027-01-31":                         {Verb: VerbBooked, From: time.Date(2027, 1, 31, 0, 0, 0, 0, zone), Until: time.Date(2027, 2, 1, 0, 0, 0, 0, zone)},
+		"status":                                               {Verb: VerbStatus}, "who applied": {Verb: VerbApplied}, "help": {Verb: VerbHelp},
+	} {
+		s, err := Parse(text, now)
+		if err != nil {
+			t.Errorf("%q: %v", text, err)
+			continue
+		}
+		s.Name = nil
+		if s.Verb != want.Verb || s.Kind != want.Kind || s.Booking != want.Booking || !s.At.Equal(want.At) || !s.From.Equal(want.From) || !s.Until.Equal(want.Until) {
+			t.Errorf("%q: %+v", text, s)
+		}
+	}
+}
+
+func TestErrorsPointAtTheColumn(t *testing.T) {
+	for text, column := range map[string]int{
+		"":                                     1,
+		"bok the replica":                      1,
+		"book the Cluj replica":                22,
+		"book for replacement at 02:00":        6,
+		"book pool-1 for dinner at 02:00":      17,
+		"book pool-1 for stop at noon":         25,
+		"book pool-1 for stop at 02:00 please": 31,
+		"confirm booking":                      16,
+		"confirm booking x":                    17,
+		"what is cooking":                      9,
+		"what is booked someday":               16,
+		"move booking 3 at 02:00":              16,
+	} {
+		_, err := Parse(text, now)
+		var e *Error
+		if !errors.As(err, &e) || e.Column != column {
+			t.Errorf("%q: %v, not column %d", text, err, column)
+		}
+	}
+}
+
+func TestNames(t *testing.T) {
+	for text, want := range map[string]string{
+		"the Cluj replica":                      "inventory-2-b",
+		"the primary of inventory-1":            "inventory-1-a",
+		"the inventory-2 primary":               "inventory-2-a",
+		"inventory-1-b":                         "inventory-1-b",
+		"the replica of pharmacies/inventory-1": "inventory-1-b",
+	} {
+		ws, _ := words(text)
+		p, err := Resolve(ws, places, false)
+		if err != nil || p.Name != want {
+			t.Errorf("%q: %v %v", text, p, err)
+		}
+	}
+	ws, _ := words("pool-2")
+	if p, err := Resolve(ws, places, true); err != nil || p.Name != "pool-2" {
+		t.Errorf("%v %v", p, err)
+	}
+	for text, want := range map[string]string{
+		"the replica":                     "column 1: this fits: inventory-1-b (replica of pharmacies/inventory-1 in iasi), inventory-2-b (replica of pharmacies/inventory-2 in cluj)",
+		"the Iasi replica of inventory-2": "column 1: nothing fits; there are: inventory-1-a (primary of pharmacies/inventory-1 in cluj), inventory-1-b (replica of pharmacies/inventory-1 in iasi), inventory-2-a (primary of pharmacies/inventory-2 in iasi), inventory-2-b (replica of pharmacies/inventory-2 in cluj)",
+		"the Sibiu replica":               `column 5: "Sibiu" is no database, machine, zone or group; there are: inventory-1-a, inventory-1-b, inventory-2-a, inventory-2-b`,
+		"the primary of nowhere":          `column 16: no group "nowhere"; there are: pharmacies/inventory-1, pharmacies/inventory-2`,
+	} {
+		ws, _ := words(text)
+		if _, err := Resolve(ws, places, false); err == nil || err.Error() != want {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -62,7 +62,7 @@
 	}
 	if s.Leaving && m.leaving == 0 {
 		m.leaving = now
-	} else if !s.Leaving {
+	} else if !s.Leaving && !w.Drained {
 		m.leaving = 0
 	}
 	old := m.status
@@ -318,14 +318,21 @@
 	SilentUs int64
 	Status   Status
 	Leaving  bool
+	Busy     int // connections in use
 }
 
 // Views returns what the node knows of each database of the group.
 func (t *Table) Views(now int64) []View {
 	var vs []View
+	busy := map[string]int{}
+	for _, c := range t.conns {
+		if c.query != 0 || c.session != "" {
+			busy[c.db]++
+		}
+	}
 	for _, w := range t.w.Members {
 		m := t.members[w.Name]
-		v := View{Name: w.Name, Known: m.known, Status: m.status, Leaving: m.leaving > 0}
+		v := View{Name: w.Name, Known: m.known, Status: m.status, Leaving: m.leaving > 0, Busy: busy[w.Name]}
 		if m.failing > 0 {
 			v.SilentUs = now - m.failing
 		}
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -453,6 +453,9 @@
 		if !had || t.members[m.Name] == nil {
 			t.members[m.Name] = &member{name: m.Name}
 		}
+		if m.Drained && t.members[m.Name].leaving == 0 {
+			t.members[m.Name].leaving = now
+		}
 		if had && (p.Address != m.Address || p.Identity != m.Identity) {
 			t.members[m.Name].known = false
 			t.fresh.Drop(m.Name)
--- a/result/result.go
+++ b/result/result.go
@@ -55,6 +55,12 @@
 	UnknownPath        Code = 407
 	OperatorBadJSON    Code = 408
 	NoSuchThing        Code = 409
+	NotUnderstood      Code = 410
+	Ambiguous          Code = 411
+	Overlaps           Code = 412
+	TooMuchAtOnce      Code = 413
+	PastTime           Code = 414
+	WrongState         Code = 415
 	TakeoverOpened     Code = 501
 	TakeoverChosen     Code = 502
 	TakeoverSeen       Code = 503
@@ -68,6 +74,7 @@
 	BootInvalid        Code = 511
 	EpochSeen          Code = 512
 	LogDamaged         Code = 513
+	BookingMoved       Code = 514
 )
 
 // Row is one code's line in the table.
@@ -116,6 +123,12 @@
 	{UnknownPath, 404, "no such path", "see docs/operating.md"},
 	{OperatorBadJSON, 400, "the body is not the JSON this path takes", "correct the body"},
 	{NoSuchThing, 404, "nothing by that name", "see the names in the return"},
+	{NotUnderstood, 400, "the sentence is not understood; the column is named", "see `stoneford say help`"},
+	{Ambiguous, 409, "the name fits several; they are named", "name one of them"},
+	{Overlaps, 409, "another booking of this group or machine lies in that time", "choose another time, or cancel that one"},
+	{TooMuchAtOnce, 409, "the move would take too much away at once", "choose another time"},
+	{PastTime, 400, "the time is past", "name a time to come"},
+	{WrongState, 409, "the booking is past that", "ask what is booked"},
 	{TakeoverOpened, 0, "a takeover was agreed and its epoch opened", "watch for 503"},
 	{TakeoverChosen, 0, "the furthest sealed copy was agreed as the primary", "watch for 503"},
 	{TakeoverSeen, 0, "the new primary was seen in its epoch", "nothing"},
@@ -129,6 +142,7 @@
 	{BootInvalid, 0, "the boot file changed and has errors; the old settings stay", "correct the file"},
 	{EpochSeen, 0, "the node follows a new epoch of a group", "nothing"},
 	{LogDamaged, 0, "the voter's log is damaged; it was set aside and the voter joins anew", "look at the disk; remove the log that was set aside"},
+	{BookingMoved, 0, "a booking went on to its next state", "nothing"},
 }
 
 var rows = func() map[Code]Row {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -57,6 +57,7 @@
 	Known   bool // State and Rev are the newest known agreed ones
 	Acts    bool // this process holds the group's duty
 	Reports map[string]Report
+	Avoid   string // a planned switch away from this one is wanted
 }
 
 // Effects.
@@ -264,11 +265,18 @@
 		g.put(now, in.Rev, n)
 		return
 	}
+	if right && in.Avoid == st.Primary && led {
+		g.open(now, in, plannedSwitch)
+		return
+	}
 	if right {
 		g.allowNew(now, in, p)
 	}
 }
 
+// plannedSwitch is the cause of an epoch that no failure opened.
+const plannedSwitch = "a planned switch"
+
 // suspect says why the primary is given up, or nothing.
 func (g *Group) suspect(now int64, in Input, p *member) string {
 	for _, m := range in.State.Members {
@@ -291,7 +299,10 @@
 
 func (g *Group) open(now int64, in Input, why string) {
 	n := proto.Clone(in.State).(*schema.GroupState)
-	n.Epoch, n.Phase, n.Primary, n.Cause = n.Epoch+1, schema.Phase_SEALING, "", why
+	n.Epoch, n.Phase, n.Primary, n.Cause, n.Avoid = n.Epoch+1, schema.Phase_SEALING, "", why, ""
+	if why == plannedSwitch {
+		n.Avoid = in.Avoid
+	}
 	for _, m := range g.m {
 		if m.known {
 			n.Epoch = max(n.Epoch, m.status.Epoch+1)
@@ -333,7 +344,7 @@
 		}
 		n++
 		b := g.sealed[best]
-		if best == "" || s.LogEpoch > b.LogEpoch || s.LogEpoch == b.LogEpoch && (s.Received > b.Received || s.Received == b.Received && b.Leaving && !s.Leaving) {
+		if best == "" || s.LogEpoch > b.LogEpoch || s.LogEpoch == b.LogEpoch && (s.Received > b.Received || s.Received == b.Received && worse(st, best, b) && !worse(st, m.Database, s)) {
 			best = m.Database
 		}
 	}
@@ -355,7 +366,7 @@
 		return
 	}
 	x := proto.Clone(st).(*schema.GroupState)
-	x.Phase, x.Primary = schema.Phase_PROMOTING, best
+	x.Phase, x.Primary, x.Avoid = schema.Phase_PROMOTING, best, ""
 	var who []string
 	for _, m := range st.Members {
 		if s, ok := g.sealed[m.Database]; ok {
@@ -366,6 +377,9 @@
 	g.put(now, in.Rev, x)
 }
 
+// worse decides among copies that are equally far.
+func worse(st *schema.GroupState, name string, s Status) bool { return name == st.Avoid || s.Leaving }
+
 // allowNew lets a copy with a new disk count as a member once it holds all the
 // primary held after the new disk was first seen: whatever the lost disk
 // vouched for is then on the new one.
