--- a/bookings/bookings.go
+++ b/bookings/bookings.go
@@ -1,4 +1,4 @@
-// Package bookings keeps the calendar of planned moves (design 12). Its
+// Package bookings keeps the calendar of planned moves (design 11). Its
 // functions are pure: a calendar goes in, a changed copy comes out, and the
 // register it lives in decides among those who change it at once.
 package bookings
--- a/cmd/stoneford/main.go
+++ b/cmd/stoneford/main.go
@@ -12,11 +12,13 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"stoneford/control"
+	"stoneford/language"
 	"stoneford/operators"
 	"stoneford/result"
 )
@@ -38,6 +40,8 @@
 		},
 		Commands: []*cli.Command{
 			{Name: "status", Usage: "nodes, groups and who holds which duty", Action: status},
+			{Name: "say", Usage: "type a question or a command, such as: what is booked tomorrow", ArgsUsage: "WORDS...",
+				Description: language.Help, Action: say},
 			{Name: "settings", Usage: "read or change the partner's configuration", Commands: []*cli.Command{
 				{Name: "get", Usage: "print the configuration and its revision, read through a majority",
 					Flags:  []cli.Flag{&cli.BoolFlag{Name: "applied", Usage: "and which revision each process works by"}},
@@ -166,6 +170,36 @@
 	return os.ReadFile(f)
 }
 
+func say(ctx context.Context, c *cli.Command) error {
+	t := strings.Join(c.Args().Slice(), " ")
+	if t == "" {
+		t = "help"
+	}
+	r, err := client(c).Say(ctx, t)
+	if err != nil {
+		return coded{code: result.ChangeUncertain, text: err.Error()}
+	}
+	if c.Bool("json") {
+		if err := printJSON(r); err != nil {
+			return err
+		}
+	} else if r.Code == result.OK {
+		fmt.Println(r.Answer)
+	}
+	if r.Code != result.OK {
+		m := r.Text
+		if r.Answer != "" {
+			m += "\n  " + r.Answer
+		}
+		var e *language.Error
+		if _, err := language.Parse(t, time.Now()); r.Code == result.NotUnderstood && errors.As(err, &e) {
+			m += fmt.Sprintf("\n  %s\n  %*s", t, e.Column, "^")
+		}
+		return coded{code: r.Code, text: m}
+	}
+	return nil
+}
+
 func status(ctx context.Context, c *cli.Command) error {
 	s, err := client(c).Status(ctx)
 	if err != nil {
--- /dev/null
+++ b/control/calendar.go
@@ -0,0 +1,333 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ballots"
+	"stoneford/bookings"
+	"stoneford/language"
+	"stoneford/result"
+	"stoneford/schema"
+)
+
+// BookingsKey is the register of the calendar both partners share.
+const BookingsKey = "bookings"
+
+// machinesDuty is the duty to stop machines at their time.
+const machinesDuty = dutyPrefix + "machines"
+
+const bookingEvery = 200_000
+
+// Events and effects of the language.
+type (
+	// Ask is a sentence that a partner typed.
+	Ask struct {
+		ID      uint64
+		Partner string
+		Text    string
+	}
+	// Wall tells the wall clock; only the calendar goes by it.
+	Wall struct{ Us int64 }
+	// Answer ends an Ask.
+	Answer struct {
+		ID       uint64
+		Code     result.Code
+		Text     string
+		Bookings []*schema.Booking
+	}
+	// Replace asks the platform to put a new, empty database in one's place.
+	Replace struct{ Database, Address, Identity string }
+	// StopMachine asks the platform to stop a machine's pool node.
+	StopMachine struct{ Machine string }
+)
+
+// carried is what this process remembers of a booking it carries out.
+type carried struct {
+	state string
+	since int64
+	asked int64
+}
+
+func (c *Core) wall(now int64) int64 { return now + c.wallOffset }
+
+func (c *Core) zone(partner string) *time.Location {
+	if l, err := time.LoadLocation(c.configs[partner].GetTimeZone()); err == nil {
+		return l
+	}
+	return time.UTC
+}
+
+// places are all databases and machines that a name can mean.
+func (c *Core) places() []language.Place {
+	var ps []language.Place
+	for _, p := range slices.Sorted(maps.Keys(c.configs)) {
+		cf := c.configs[p]
+		for _, g := range slices.Sorted(maps.Keys(cf.Groups)) {
+			st := GroupState(c.relay.Held(GroupPrefix + p + "/" + g))
+			for _, m := range cf.Groups[g].Members {
+				ps = append(ps, language.Place{Name: m, Partner: p, Group: p + "/" + g, Zone: cf.Databases[m].Zone, Primary: m == st.Primary})
+			}
+		}
+	}
+	for _, n := range c.nodes {
+		if n.Kind == "pool" {
+			ps = append(ps, language.Place{Name: n.Name, Machine: true, Partner: n.Partner, Zone: n.Zone})
+		}
+	}
+	return ps
+}
+
+func (c *Core) facts() bookings.Fleet {
+	n := 0
+	for _, o := range c.nodes {
+		if o.Kind == "pool" {
+			n++
+		}
+	}
+	return bookings.Fleet{Machines: n}
+}
+
+// ask understands a sentence and does what it says.
+func (c *Core) answer(now int64, e Ask) {
+	ret := func(code result.Code, text string, bs ...*schema.Booking) {
+		c.fx.Do = append(c.fx.Do, Answer{ID: e.ID, Code: code, Text: text, Bookings: bs})
+	}
+	zone := c.zone(e.Partner)
+	s, err := language.Parse(e.Text, time.UnixMicro(c.wall(now)).In(zone))
+	if err != nil {
+		ret(result.NotUnderstood, err.Error())
+		return
+	}
+	switch s.Verb {
+	case language.VerbHelp:
+		ret(result.OK, language.Help)
+	case language.VerbStatus:
+		ret(result.OK, c.statusText())
+	case language.VerbApplied:
+		ret(result.OK, c.appliedText(e.Partner))
+	case language.VerbBooked:
+		c.read(now, BookingsKey, func(now int64, o ballots.Outcome) {
+			if o.Verdict != ballots.Agreed {
+				ret(verdict(o.Verdict, false), "")
+				return
+			}
+			var bs []*schema.Booking
+			for _, b := range bookings.Read(o.Value.GetData()).Bookings {
+				if !s.From.IsZero() && (b.AtUs < s.From.UnixMicro() || b.AtUs >= s.Until.UnixMicro()) || s.From.IsZero() && !bookings.Open(b) {
+					continue
+				}
+				bs = append(bs, b)
+			}
+			ret(result.OK, c.bookedText(bs, zone), bs...)
+		})
+	default:
+		c.change(now, e, s, zone, ret)
+	}
+}
+
+// change changes the calendar: against its newest revision, and as the next.
+func (c *Core) change(now int64, e Ask, s language.Sentence, zone *time.Location, ret func(result.Code, string, ...*schema.Booking)) {
+	var b *schema.Booking
+	if s.Verb == language.VerbBook {
+		p, err := language.Resolve(s.Name, c.places(), s.Kind == bookings.Stop)
+		if err != nil {
+			var le *language.Error
+			if errors.As(err, &le) && le.Several {
+				ret(result.Ambiguous, err.Error())
+			} else {
+				ret(result.NoSuchThing, err.Error())
+			}
+			return
+		}
+		b = &schema.Booking{Kind: s.Kind, Target: p.Partner + "/" + p.Name, Group: p.Group, Owner: p.Partner, ProposedBy: e.Partner, AtUs: s.At.UnixMicro()}
+		if p.Machine {
+			b.Target = p.Name
+		}
+	}
+	c.read(now, BookingsKey, func(now int64, o ballots.Outcome) {
+		if o.Verdict != ballots.Agreed {
+			ret(result.NoVoterMajority, "")
+			return
+		}
+		old := bookings.Read(o.Value.GetData())
+		var cal *schema.Calendar
+		var is *schema.Booking
+		var p *bookings.Problem
+		wall := c.wall(now)
+		switch s.Verb {
+		case language.VerbBook:
+			cal, is, p = bookings.Propose(old, b, wall, c.facts())
+		case language.VerbConfirm:
+			cal, is, p = bookings.Confirm(old, s.Booking, e.Partner, wall, c.facts())
+		case language.VerbCancel:
+			cal, is, p = bookings.Cancel(old, s.Booking, e.Partner)
+		case language.VerbMove:
+			cal, is, p = bookings.Move(old, s.Booking, e.Partner, s.At.UnixMicro(), wall, c.facts())
+		}
+		if p != nil {
+			ret(p.Code, p.Text)
+			return
+		}
+		c.putCalendar(now, o.Value.GetRevision(), cal, func(now int64, o ballots.Outcome) {
+			if o.Verdict != ballots.Agreed {
+				ret(verdict(o.Verdict, true), "")
+				return
+			}
+			ret(result.OK, c.bookedText([]*schema.Booking{is}, zone), is)
+		})
+	})
+}
+
+func (c *Core) putCalendar(now int64, base uint64, cal *schema.Calendar, f func(int64, ballots.Outcome)) {
+	b, err := proto.Marshal(cal)
+	if err != nil {
+		panic(err)
+	}
+	c.ask(now, ballots.Change{Name: c.name(), Key: BookingsKey, Base: base, Data: b, Expiry: now + settingExpiry}, f)
+}
+
+func (c *Core) bookedText(bs []*schema.Booking, zone *time.Location) string {
+	if len(bs) == 0 {
+		return "nothing is booked"
+	}
+	var ls []string
+	for _, b := range bs {
+		l := fmt.Sprintf("booking %d: %s of %s at %s, %s", b.Id, b.Kind, b.Target, time.UnixMicro(b.AtUs).In(zone).Format("2006-01-02 15:04 MST"), b.State)
+		if b.State == bookings.Proposed {
+			l += " by " + b.ProposedBy + ", to be confirmed by " + b.Owner
+		}
+		if b.Detail != "" {
+			l += " (" + b.Detail + ")"
+		}
+		ls = append(ls, l)
+	}
+	return strings.Join(ls, "\n")
+}
+
+func (c *Core) statusText() string {
+	var ls []string
+	for _, k := range slices.Sorted(maps.Keys(c.groups)) {
+		g := GroupState(c.relay.Held(GroupPrefix + k))
+		ls = append(ls, fmt.Sprintf("%s: epoch %d, %s, primary %s", k, g.Epoch, strings.ToLower(g.Phase.String()), g.Primary))
+	}
+	alive := 0
+	for _, n := range c.nodes {
+		if n.Alive {
+			alive++
+		}
+	}
+	return strings.Join(append(ls, fmt.Sprintf("%d processes, %d alive", len(c.nodes), alive)), "\n")
+}
+
+func (c *Core) appliedText(partner string) string {
+	m := c.Applied(ConfigPrefix + partner)
+	ls := []string{fmt.Sprintf("%s, newest known revision %d", partner, c.relay.Held(ConfigPrefix+partner).GetRevision())}
+	for _, n := range slices.Sorted(maps.Keys(m)) {
+		ls = append(ls, fmt.Sprintf("%s: revision %d", n, m[n]))
+	}
+	return strings.Join(ls, "\n")
+}
+
+// bookingTick carries out what is due and is this process's duty. Every step
+// of a booking is a revision of the calendar, so another process goes on from
+// there if this one dies; what the platform is asked for can be asked again.
+func (c *Core) bookingTick(now int64) {
+	if now < c.nextBook || !c.wallKnown {
+		return
+	}
+	c.nextBook = now + bookingEvery
+	cal := c.cal
+	rev := c.relay.Held(BookingsKey).GetRevision()
+	for _, b := range cal.Bookings {
+		d := machinesDuty
+		if b.Group != "" {
+			d = dutyPrefix + b.Group
+		}
+		if !bookings.Open(b) || !c.duty.Acts(d, now) {
+			delete(c.carries, b.Id)
+			continue
+		}
+		w := c.carries[b.Id]
+		if w == nil || w.state != b.State {
+			w = &carried{state: b.State, since: now}
+			c.carries[b.Id] = w
+		}
+		v := c.bookingView(now, b)
+		v.SinceUs = now - w.since
+		st, detail, ask := bookings.Next(b, v)
+		if ask && now-w.asked > 2_000_000 {
+			w.asked = now
+			c.carryOut(b)
+		}
+		if st == "" || c.bookingPut {
+			continue
+		}
+		c.bookingPut = true
+		n := bookings.To(cal, b.Id, st, detail)
+		if st == bookings.Draining || st == bookings.Handed {
+			bookings.Find(n, b.Id).Identity = v.Identity
+		}
+		c.putCalendar(now, rev, n, func(now int64, o ballots.Outcome) {
+			c.bookingPut = false
+			if o.Verdict == ballots.Agreed {
+				c.say(result.BookingMoved, "booking %d, %s of %s: %s %s", b.Id, b.Kind, b.Target, st, detail)
+			}
+		})
+	}
+}
+
+func (c *Core) bookingView(now int64, b *schema.Booking) bookings.View {
+	v := bookings.View{WallUs: c.wall(now)}
+	if b.Kind == bookings.Stop {
+		v.Gone = true
+		for _, n := range c.nodes {
+			v.Gone = v.Gone && !(n.Name == b.Target && n.Alive)
+		}
+		return v
+	}
+	g := c.groups[b.Group]
+	st := GroupState(c.relay.Held(GroupPrefix + b.Group))
+	v.Target = strings.TrimPrefix(b.Target, b.Owner+"/")
+	if st.Phase == schema.Phase_OPEN {
+		v.Primary = st.Primary
+	}
+	for _, m := range st.Members {
+		if m.Database == v.Target {
+			v.Identity = m.Identity
+		}
+	}
+	if g == nil {
+		v.Well = "the group is no longer configured"
+		return v
+	}
+	v.Well = g.decider.Well(now, st)
+	v.Busy = c.reports(now, b.Group)[v.Target].Busy
+	return v
+}
+
+func (c *Core) carryOut(b *schema.Booking) {
+	switch {
+	case b.Kind == bookings.Stop && b.State == bookings.Handed:
+		c.fx.Do = append(c.fx.Do, StopMachine{Machine: b.Target})
+	case b.Kind == bookings.Replacement && b.State == bookings.Handed:
+		n := strings.TrimPrefix(b.Target, b.Owner+"/")
+		c.fx.Do = append(c.fx.Do, Replace{Database: n, Address: c.configs[b.Owner].GetDatabases()[n].GetAddress(), Identity: b.Identity})
+	}
+}
+
+// avoid is the primary that a booking under way has the group switch away from.
+func (c *Core) avoid(group string) string {
+	for _, b := range c.cal.Bookings {
+		if b.Group == group && b.State == bookings.Switching {
+			return strings.TrimPrefix(b.Target, b.Owner+"/")
+		}
+	}
+	return ""
+}
--- a/control/core.go
+++ b/control/core.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"stoneford/ballots"
+	"stoneford/bookings"
 	"stoneford/duties"
 	"stoneford/neighbours"
 	"stoneford/permits"
@@ -142,11 +143,18 @@
 	turn     int
 	formed   bool
 	leaving  bool
-	nextCmp  int64
-	nextDuty int64
-	nextAnn  int64
-	nextRos  int64
-	fx       Effects
+	// the calendar
+	wallOffset int64
+	wallKnown  bool
+	cal        *schema.Calendar
+	carries    map[uint64]*carried
+	bookingPut bool
+	nextBook   int64
+	nextCmp    int64
+	nextDuty   int64
+	nextAnn    int64
+	nextRos    int64
+	fx         Effects
 }
 
 // NewCore makes a control process; run must be greater than any earlier run's
@@ -158,7 +166,7 @@
 		relay:    relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
 		watch: neighbours.New(b.Listen), ctl: neighbours.New(b.Listen), down: map[string]bool{},
 		groups: map[string]*groupDuty{}, configs: map[string]*schema.Configuration{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, stamp: run}
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, carries: map[uint64]*carried{}, cal: &schema.Calendar{}, stamp: run}
 	c.duty = duties.New(b.Listen, run, b.Seeds, c.name)
 	return c
 }
@@ -200,6 +208,10 @@
 		if g := c.groups[e.Group]; g != nil {
 			g.decider.Said(now, e.ID, e.Err, e.Status)
 		}
+	case Ask:
+		c.answer(now, e)
+	case Wall:
+		c.wallOffset, c.wallKnown = e.Us-now, true
 	case Stop:
 		c.leaving = true
 		c.duty.Leave()
@@ -255,6 +267,9 @@
 func (c *Core) learned(fx relaytree.Effects) {
 	c.fx.Send = append(c.fx.Send, fx.Send...)
 	for _, g := range fx.New {
+		if g.Key == BookingsKey {
+			c.cal = bookings.Read(g.Value.Data)
+		}
 		if p, ok := strings.CutPrefix(g.Key, ConfigPrefix); ok {
 			cf, ps := settings.ReadConfiguration(g.Value.Data)
 			if len(ps) > 0 {
@@ -288,7 +303,7 @@
 			}
 		}
 	}
-	c.duty.Want(ks)
+	c.duty.Want(append(ks, machinesDuty))
 	maps.DeleteFunc(c.groups, func(k string, _ *groupDuty) bool { return !slices.Contains(ks, dutyPrefix+k) })
 }
 
@@ -478,6 +493,7 @@
 	for _, k := range slices.Sorted(maps.Keys(c.groups)) {
 		c.groupTick(now, k, c.groups[k])
 	}
+	c.bookingTick(now)
 }
 
 // GroupState reads a group's state out of its register.
@@ -492,26 +508,10 @@
 func (c *Core) groupTick(now int64, k string, g *groupDuty) {
 	acts := c.duty.Acts(dutyPrefix+k, now)
 	v := c.relay.Held(GroupPrefix + k)
-	in := takeover.Input{Places: g.places, First: g.setting.Primary, State: GroupState(v), Rev: v.GetRevision(), Known: true, Acts: acts, Reports: map[string]takeover.Report{}}
-	pre := roster.ReportPrefix + k + "/"
-	if !acts {
-		g.decider.Step(now, in)
-		return
+	in := takeover.Input{Places: g.places, First: g.setting.Primary, State: GroupState(v), Rev: v.GetRevision(), Known: true, Acts: acts}
+	if acts {
+		in.Reports, in.Avoid = c.reports(now, k), c.avoid(k)
 	}
-	c.recs.Each(pre, func(r *schema.Record) {
-		d := &schema.DatabaseReport{}
-		if c.recs.AgeUs(now, r.Key) > reportFresh || proto.Unmarshal(r.Data, d) != nil {
-			return
-		}
-		db, _, _ := strings.Cut(strings.TrimPrefix(r.Key, pre), "/")
-		s := in.Reports[db]
-		if d.Reachable {
-			s.Reach++
-		} else {
-			s.Miss++
-		}
-		in.Reports[db] = s
-	})
 	for _, e := range g.decider.Step(now, in) {
 		switch e := e.(type) {
 		case takeover.Ask:
@@ -527,6 +527,28 @@
 	}
 }
 
+// reports sums what pool nodes said lately of a group's databases.
+func (c *Core) reports(now int64, group string) map[string]takeover.Report {
+	m := map[string]takeover.Report{}
+	pre := roster.ReportPrefix + group + "/"
+	c.recs.Each(pre, func(r *schema.Record) {
+		d := &schema.DatabaseReport{}
+		if c.recs.AgeUs(now, r.Key) > reportFresh || proto.Unmarshal(r.Data, d) != nil {
+			return
+		}
+		db, _, _ := strings.Cut(strings.TrimPrefix(r.Key, pre), "/")
+		s := m[db]
+		if d.Reachable {
+			s.Reach++
+		} else {
+			s.Miss++
+		}
+		s.Busy += int(d.Busy)
+		m[db] = s
+	})
+	return m
+}
+
 func (c *Core) permitAsk(now int64, from string, a *schema.PermitAsk) {
 	g, k := c.groups[a.Group], dutyPrefix+a.Group
 	if g == nil || !c.duty.Exclusive(k, now) {
--- a/control/operators.go
+++ b/control/operators.go
@@ -35,6 +35,7 @@
 	m.HandleFunc("PATCH /v1/settings", func(w http.ResponseWriter, r *http.Request) { p.putSettings(w, r, true) })
 	m.HandleFunc("GET /v1/status", p.status)
 	m.HandleFunc("GET /v1/ready", p.ready)
+	m.HandleFunc("POST /v1/say", p.say)
 	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		give(w, Reply{Code: result.UnknownPath, Detail: r.Method + " " + r.URL.Path})
 	})
@@ -72,7 +73,10 @@
 	if !ok {
 		return
 	}
-	v, _ := p.ask(func(id uint64) any { return GetSettings{ID: id, Partner: n} })
+	v, ok := wait[Return](p, func(id uint64) any { return GetSettings{ID: id, Partner: n} })
+	if !ok {
+		v.Code = result.NoVoterMajority
+	}
 	out := Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text}
 	if r.URL.Query().Get("applied") != "" {
 		p.see(func(c *Core, _ int64) { out.Applied = c.Applied(ConfigPrefix + n) })
@@ -102,12 +106,45 @@
 		give(w, Reply{Code: result.OperatorBadJSON, Detail: err.Error(), Partner: n})
 		return
 	}
-	v, _ := p.ask(func(id uint64) any {
+	v, ok := wait[Return](p, func(id uint64) any {
 		return PutSettings{ID: id, Partner: n, Base: b.BasedOn, Patch: patch, DryRun: r.URL.Query().Get("dry_run") != "", Text: b.Settings}
 	})
+	if !ok {
+		v.Code = result.ChangeUncertain // this process stopped meanwhile
+	}
 	give(w, Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text, Problems: v.Problems})
 }
 
+// AnswerReply is the return to a sentence.
+type AnswerReply struct {
+	Code     result.Code       `json:"code"`
+	Text     string            `json:"text"`
+	Answer   string            `json:"answer,omitempty"`
+	Bookings []*schema.Booking `json:"bookings,omitempty"`
+}
+
+// say takes a sentence of the language.
+func (p *Process) say(w http.ResponseWriter, r *http.Request) {
+	n, ok := p.partner(w, r)
+	if !ok {
+		return
+	}
+	var b struct {
+		Text string `json:"text"`
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&b); err != nil {
+		give(w, Reply{Code: result.OperatorBadJSON, Detail: err.Error(), Partner: n})
+		return
+	}
+	v, ok := wait[Answer](p, func(id uint64) any { return Ask{ID: id, Partner: n, Text: b.Text} })
+	if !ok {
+		v.Code = result.ChangeUncertain
+	}
+	giveJSON(w, v.Code.Row().HTTP, AnswerReply{Code: v.Code, Text: v.Code.String(), Answer: v.Text, Bookings: v.Bookings})
+}
+
 // NodeStatus and GroupStatus are what operators see of the fleet.
 type (
 	NodeStatus struct {
--- a/control/process.go
+++ b/control/process.go
@@ -114,6 +114,7 @@
 	}
 	hs := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 10 * time.Second}
 	cl.Push(hs.Close)
+	go p.tellWall(work)
 	ended := make(chan struct{})
 	go func() { p.fail(p.links.Serve(ln)) }()
 	go func() { p.fail(hs.Serve(hl)) }()
@@ -157,6 +158,16 @@
 			if ch, ok := p.waiters.LoadAndDelete(d.ID); ok {
 				ch.(chan Return) <- d
 			}
+		case Answer:
+			if ch, ok := p.waiters.LoadAndDelete(d.ID); ok {
+				ch.(chan Answer) <- d
+			}
+		case Replace:
+			go p.tellPlatform("replace", func(ctx context.Context) error {
+				return p.dbs.Replace(ctx, p.boot.Platform, d.Database, d.Address, d.Identity)
+			})
+		case StopMachine:
+			go p.tellPlatform("stop", func(ctx context.Context) error { return p.dbs.StopMachine(ctx, p.boot.Platform, d.Machine) })
 		case AskDatabase:
 			go p.askDatabase(d)
 		case Platform:
@@ -171,6 +182,20 @@
 	}
 }
 
+// tellWall tells the core the wall clock, which only the calendar goes by.
+func (p *Process) tellWall(ctx context.Context) {
+	t := p.clock.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		p.l.Post(Wall{Us: p.clock.Now().UnixMicro()})
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		}
+	}
+}
+
 func (p *Process) askDatabase(d AskDatabase) {
 	ctx, stop := context.WithTimeout(p.ctx, askTime)
 	defer stop()
@@ -186,28 +211,37 @@
 }
 
 func (p *Process) platform(d Platform) {
-	ctx, stop := context.WithTimeout(p.ctx, platformTime)
-	defer stop()
 	ms := make([]databaseclient.Member, len(d.Members))
 	for i, m := range d.Members {
 		ms[i] = databaseclient.Member(m)
 	}
-	if err := p.dbs.Takeover(ctx, p.boot.Platform, d.Group, d.Target, d.Epoch, ms); err != nil {
-		log.WithFields(log.Fields{"group": d.Group, "target": d.Target, "epoch": d.Epoch}).WithError(err).Warn("the platform did not carry the takeover out; it is asked again")
+	p.tellPlatform("takeover", func(ctx context.Context) error {
+		return p.dbs.Takeover(ctx, p.boot.Platform, d.Group, d.Target, d.Epoch, ms)
+	})
+}
+
+// tellPlatform asks the platform for something that is asked again until it is
+// seen to be done.
+func (p *Process) tellPlatform(what string, f func(context.Context) error) {
+	ctx, stop := context.WithTimeout(p.ctx, platformTime)
+	defer stop()
+	if err := f(ctx); err != nil {
+		log.WithFields(log.Fields{"asked_for": what}).WithError(err).Warn("the platform did not do it; it is asked again")
 	}
 }
 
-// ask posts an event and waits for its return; the core ends each by itself.
-func (p *Process) ask(e func(id uint64) any) (Return, bool) {
+// wait posts an event and waits for its end, which the core always gives.
+func wait[R any](p *Process, e func(id uint64) any) (R, bool) {
 	id := p.id.Add(1)
-	ch := make(chan Return, 1)
+	ch := make(chan R, 1)
 	p.waiters.Store(id, ch)
 	p.l.Post(e(id))
 	select {
 	case r := <-ch:
 		return r, true
 	case <-p.ctx.Done():
-		return Return{Code: result.ChangeUncertain}, false
+		var r R
+		return r, false
 	}
 }
 
--- a/databaseclient/client.go
+++ b/databaseclient/client.go
@@ -153,11 +153,25 @@
 // Takeover asks the platform to make the target the group's primary in an
 // epoch and the others its followers.
 func (c *Client) Takeover(ctx context.Context, platform, group, target string, epoch uint64, ms []Member) error {
+	return c.platform(ctx, platform, "takeover", map[string]any{"group": group, "target": target, "epoch": epoch, "members": ms})
+}
+
+// Replace asks the platform to put a new, empty database in the place of the
+// copy of that identity.
+func (c *Client) Replace(ctx context.Context, platform, database, addr, identity string) error {
+	return c.platform(ctx, platform, "replace", map[string]any{"database": database, "address": addr, "identity": identity})
+}
+
+// StopMachine asks the platform to stop a machine's pool node with its grace.
+func (c *Client) StopMachine(ctx context.Context, platform, machine string) error {
+	return c.platform(ctx, platform, "stop", map[string]any{"machine": machine})
+}
+
+func (c *Client) platform(ctx context.Context, platform, what string, in any) error {
 	var o struct {
 		Error string `json:"error"`
 	}
-	in := map[string]any{"group": group, "target": target, "epoch": epoch, "members": ms}
-	if err := c.do(ctx, http.MethodPost, "http://"+platform+"/v1/takeover", in, &o); err != nil {
+	if err := c.do(ctx, http.MethodPost, "http://"+platform+"/v1/"+what, in, &o); err != nil {
 		return err
 	}
 	if o.Error != "" {
--- a/language/language.go
+++ b/language/language.go
@@ -1,4 +1,4 @@
-// Package language is the small language of questions and commands (design 12).
+// Package language is the small language of questions and commands (design 11).
 // The same text goes through the command line and over HTTP.
 package language
 
--- a/operators/client.go
+++ b/operators/client.go
@@ -109,3 +109,9 @@
 	}
 	return s.Status, err
 }
+
+// Say types a sentence of the language.
+func (c Client) Say(ctx context.Context, text string) (control.AnswerReply, error) {
+	var r control.AnswerReply
+	return r, c.Do(ctx, http.MethodPost, "/v1/say", map[string]string{"text": text}, &r)
+}
--- a/pool/core.go
+++ b/pool/core.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"stoneford/ballots"
+	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/neighbours"
 	"stoneford/permits"
@@ -74,6 +75,7 @@
 	compareEvery  = 1_000_000
 	reportEvery   = 500_000
 	groupEvery    = 10_000
+	drainEvery    = 100_000
 	readExpiry    = 2_000_000
 )
 
@@ -101,6 +103,7 @@
 	proposer *ballots.Proposer
 	nodes    []roster.Node
 	configs  map[string]*schema.Configuration
+	cal      *schema.Calendar
 	inForce  map[string]uint64 // revision of each configuration in force
 	reading  map[string]bool
 	checked  map[string]uint64 // configurations read through a majority: least revision to apply
@@ -119,7 +122,7 @@
 func NewCore(b *schema.Boot, run uint64) *Core {
 	return &Core{boot: b, self: b.Listen, run: run, stamp: run, relay: relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
 		watch: neighbours.New(b.Listen), proposer: ballots.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
-		configs: map[string]*schema.Configuration{}, inForce: map[string]uint64{}, reading: map[string]bool{}, checked: map[string]uint64{}, groups: map[string]*group{},
+		configs: map[string]*schema.Configuration{}, inForce: map[string]uint64{}, cal: &schema.Calendar{}, reading: map[string]bool{}, checked: map[string]uint64{}, groups: map[string]*group{},
 		turn: int(step.Hash(b.Listen) % 3)}
 }
 
@@ -170,6 +173,8 @@
 	for _, g := range fx.New {
 		c.nextGrp = 0
 		switch {
+		case g.Key == control.BookingsKey:
+			c.cal = bookings.Read(g.Value.Data)
 		case strings.HasPrefix(g.Key, control.ConfigPrefix):
 			c.configure(now, g.Key, g.Value)
 		case strings.HasPrefix(g.Key, control.GroupPrefix):
@@ -343,7 +348,8 @@
 		ids[m.Database] = m.Identity
 	}
 	for _, m := range cf.Groups[g.name].Members {
-		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs()})
+		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
+			Drained: bookings.Drained(c.cal, g.partner+"/"+m)})
 	}
 	for n, s := range cf.Classes {
 		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, ExpiryUs: s.ExpiryUs}
@@ -362,6 +368,9 @@
 	due := now >= g.nextRep
 	if due {
 		g.nextRep = now + reportEvery
+		if slices.ContainsFunc(g.wanted.Members, func(m querytable.Member) bool { return m.Drained }) {
+			g.nextRep = now + drainEvery // somebody waits for connections to fall idle
+		}
 	}
 	for _, v := range g.views {
 		ok := v.SilentUs == 0
@@ -370,7 +379,7 @@
 		}
 		key := roster.ReportPrefix + k + "/" + v.Name + "/" + c.boot.Name
 		r := c.write(now, key, &schema.DatabaseReport{Reachable: ok, SilentUs: v.SilentUs, Epoch: v.Status.Epoch,
-			Received: v.Status.Received, Applied: v.Status.Applied, Leaving: v.Leaving, Role: v.Status.Role})
+			Received: v.Status.Received, Applied: v.Status.Applied, Leaving: v.Leaving, Role: v.Status.Role, Busy: int32(v.Busy)})
 		c.recs.Forget(key) // control processes keep these
 		if ok != g.reached[v.Name] {
 			c.tell(r, c.boot.Seeds...)
--- /dev/null
+++ b/simulation/bookings_test.go
@@ -0,0 +1,151 @@
+package simulation_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"stoneford/bookings"
+	"stoneford/control"
+	"stoneford/result"
+	"stoneford/simulation"
+)
+
+// booked types a sentence until a control process answers, and returns that.
+func booked(f *simulation.Fleet, who, text string) control.Answer {
+	for i := 0; ; i++ {
+		var got *control.Answer
+		f.Type(f.Controls[i%3], who, text, func(a control.Answer) { got = &a })
+		for end := f.Now + 6_000_000; got == nil && f.Now < end; {
+			f.Run(f.Now + 10_000)
+		}
+		if got != nil && got.Code != result.NoVoterMajority {
+			return *got
+		}
+	}
+}
+
+// clock is a sentence's time, so many minutes ahead.
+func clock(f *simulation.Fleet, minutes int) string {
+	return time.UnixMicro(f.Now + int64(minutes)*60_000_000).UTC().Format("2006-01-02 15:04")
+}
+
+// TestPlannedMoves: a replica and then the primary are replaced, the primary is
+// switched and a machine stopped, all from the calendar, under load; on odd
+// seeds the control process that carries the move out is killed in its midst.
+func TestPlannedMoves(t *testing.T) {
+	each(12, 0, func(seed uint64) {
+		p := plan(seed)
+		p.Groups, p.ThinkUs = []string{"inventory-1"}, 400_000
+		f := simulation.NewFleet(p)
+		f.PutSettings(nil)
+		f.Run(3_000_000)
+		f.Callers()
+		for i, c := range []struct{ what, kind string }{
+			{"the Iasi replica", "replacement"}, {"the primary of inventory-1", "replacement"}, {"the primary of inventory-1", "switch"}, {"pool-2", "stop"},
+		} {
+			was := f.Primary("inventory-1")
+			a := booked(f, "lender", fmt.Sprintf("book %s for %s at %s", c.what, c.kind, clock(f, 1)))
+			if a.Code != result.OK || len(a.Bookings) != 1 || a.Bookings[0].Owner != "pharmacies" {
+				t.Errorf("seed %d: %s: %d %s", seed, c.what, a.Code, a.Text)
+				return
+			}
+			id := a.Bookings[0].Id
+			if a := booked(f, "lender", fmt.Sprintf("confirm booking %d", id)); a.Code != result.NotOwner {
+				t.Errorf("seed %d: the other partner's confirmation: %d %s", seed, a.Code, a.Text)
+			}
+			if a := booked(f, "pharmacies", fmt.Sprintf("confirm booking %d", id)); a.Code != result.OK {
+				t.Errorf("seed %d: the owner's confirmation: %d %s", seed, a.Code, a.Text)
+			}
+			state, killed := "", false
+			for end := f.Now + 200_000_000; f.Now < end && state != bookings.Done; {
+				f.Run(f.Now + 100_000)
+				for _, b := range f.Calendar().Bookings {
+					if b.Id != id {
+						continue
+					}
+					state = b.State
+					if seed%2 == 1 && bookings.Begun(b) && !killed {
+						killed = true
+						k := f.Holder("pharmacies/inventory-1")
+						f.KillControl(k)
+						f.After(8_000_000, func() { f.StartControl(k, false) })
+					}
+				}
+				if state == bookings.Failed || state == bookings.Missed {
+					break
+				}
+			}
+			if state != bookings.Done {
+				t.Errorf("seed %d: move %d is %s\n%s", seed, i, state, strings.Join(f.Says, "\n"))
+				return
+			}
+			f.Run(f.Now + 12_000_000)
+			if c.kind == "switch" && f.Primary("inventory-1") == was {
+				t.Errorf("seed %d: %s is the primary still", seed, was.Name())
+			}
+		}
+		ss := f.Truth.Samples
+		if s := simulation.Served(ss); s < 0.99 {
+			t.Errorf("seed %d: %.4f of %d queries were served through planned moves", seed, s, len(ss))
+		}
+		v := f.Finish()
+		for _, b := range v.Violations {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	})
+}
+
+// TestCalendarKeepsItsRules: overlapping moves of a group, too many machines at
+// once, past times and moves that have begun are bounced, and two who book at
+// once do not both get the time.
+func TestCalendarKeepsItsRules(t *testing.T) {
+	p := plan(3)
+	p.Groups, p.Sessions, p.Machines = []string{"inventory-1"}, 0, 6
+	f := simulation.NewFleet(p)
+	f.PutSettings(nil)
+	f.Run(4_000_000)
+	for _, c := range []struct {
+		who, text string
+		want      result.Code
+	}{
+		{"pharmacies", "book inventory-1-b for replacement at " + clock(f, 60), result.OK},
+		{"pharmacies", "book inventory-1-c for replacement at " + clock(f, 65), result.Overlaps},
+		{"pharmacies", "book inventory-1-c for replacement at " + clock(f, 70), result.OK},
+		{"pharmacies", "move booking 2 to " + clock(f, 62), result.Overlaps},
+		{"pharmacies", "book pool-1 for stop at " + clock(f, 60), result.OK},
+		{"pharmacies", "book pool-2 for stop at " + clock(f, 60), result.OK},
+		{"pharmacies", "book pool-3 for stop at " + clock(f, 60), result.TooMuchAtOnce},
+		{"pharmacies", "book inventory-1-a for replacement at 1969-12-31 10:00", result.PastTime},
+		{"pharmacies", "book the replica for replacement at " + clock(f, 200), result.Ambiguous},
+		{"pharmacies", "book inventory-9-a for replacement at " + clock(f, 200), result.NoSuchThing},
+		{"lender", "cancel booking 1", result.NotOwner},
+		{"lender", "confirm booking 1", result.NotOwner},
+		{"pharmacies", "cancel booking 1", result.OK},
+		{"pharmacies", "confirm booking 1", result.WrongState},
+		{"pharmacies", "confirm booking 99", result.NoSuchThing},
+		{"pharmacies", "book inventory-1-c dinner", result.NotUnderstood},
+	} {
+		if a := booked(f, c.who, c.text); a.Code != c.want {
+			t.Errorf("%s: %q: %d %s, not %d", c.who, c.text, a.Code, a.Text, c.want)
+		}
+	}
+	if a := booked(f, "lender", "what is booked"); strings.Count(a.Text, "booking") != 3 {
+		t.Errorf("what is booked: %s", a.Text)
+	}
+	var mu sync.Mutex
+	codes := map[result.Code]int{}
+	for i := range 3 {
+		f.Type(f.Controls[i], "pharmacies", "book inventory-1-b for replacement at "+clock(f, 300), func(a control.Answer) {
+			mu.Lock()
+			codes[a.Code]++
+			mu.Unlock()
+		})
+	}
+	f.Run(f.Now + 8_000_000)
+	if codes[result.OK] != 1 || len(codes) > 3 {
+		t.Errorf("three who book at once: %v", codes)
+	}
+}
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -5,9 +5,11 @@
 	"slices"
 	"strconv"
 
+	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/querytable"
 	"stoneford/result"
+	"stoneford/schema"
 	"stoneford/standin/checker"
 	"stoneford/standin/databasecopy"
 )
@@ -413,3 +415,27 @@
 	}
 	return least
 }
+
+// Calendar is the newest calendar any control process knows.
+func (f *Fleet) Calendar() *schema.Calendar {
+	var v *schema.Value
+	for _, c := range f.Controls {
+		if h := c.core.Held(control.BookingsKey); h.GetRevision() > v.GetRevision() {
+			v = h
+		}
+	}
+	return bookings.Read(v.GetData())
+}
+
+// Holder is the number of the control process that holds a group's duty.
+func (f *Fleet) Holder(group string) int {
+	for i, c := range f.Controls {
+		if c.up && c.core.Groups()[group] == c.boot.Listen {
+			return i
+		}
+	}
+	return 0
+}
+
+// Name is the database's own.
+func (d *DB) Name() string { return d.name }
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -44,7 +44,7 @@
 // StopNode stops a pool node with its grace, then ends it.
 func (f *Fleet) StopNode(i int) {
 	n := f.Nodes[i]
-	if !n.up || n.paused {
+	if !n.up || n.paused || n.leaving {
 		return
 	}
 	n.leaving = true
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -85,6 +85,7 @@
 	byAddr   map[string]*DB
 	ids      uint64
 	returns  map[uint64]func(control.Return)
+	answers  map[uint64]func(control.Answer)
 	plat     map[string]uint64 // platform: highest epoch by group
 	platT    map[string]string
 	Truth    *Truth
@@ -111,7 +112,7 @@
 // NewFleet lays a fleet out and starts it.
 func NewFleet(p Plan) *Fleet {
 	w := NewWorld(p.Seed)
-	f := &Fleet{World: w, Plan: p, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){},
+	f := &Fleet{World: w, Plan: p, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, answers: map[uint64]func(control.Answer){},
 		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, PlatformUs: 5_000}
 	f.Truth = newTruth(f)
 	f.Net.Take = f.take
@@ -175,7 +176,7 @@
 			return
 		}
 		if !c.paused {
-			f.stepControl(c)
+			f.stepControl(c, control.Wall{Us: f.Now})
 		}
 		f.After(20_000, tick)
 	}
@@ -202,6 +203,23 @@
 			f.askDatabase(c, d)
 		case control.Platform:
 			f.platform(d)
+		case control.Answer:
+			if r := f.answers[d.ID]; r != nil {
+				delete(f.answers, d.ID)
+				r(d)
+			}
+		case control.Replace:
+			f.After(f.Between(500, f.PlatformUs), func() {
+				if o := f.DBs[d.Database]; o.c.Identity == d.Identity {
+					f.LoseDB(d.Database)
+				}
+			})
+		case control.StopMachine:
+			for i, n := range f.Nodes {
+				if n.boot.Name == d.Machine {
+					f.After(f.Between(500, f.PlatformUs), func() { f.StopNode(i) })
+				}
+			}
 		case control.Say:
 			f.say("%s %d %s", c.boot.Name, d.Code, d.Text)
 		}
@@ -229,6 +247,14 @@
 	f.toControl(c, c.gen, e(id))
 }
 
+// Type has a partner type a sentence at a control process.
+func (f *Fleet) Type(c *controlProc, who, text string, done func(control.Answer)) {
+	f.ids++
+	id := f.ids
+	f.answers[id] = done
+	f.toControl(c, c.gen, control.Ask{ID: id, Partner: who, Text: text})
+}
+
 func (f *Fleet) askDatabase(c *controlProc, d control.AskDatabase) {
 	gen := c.gen
 	back := func(err bool, s databasecopy.Status) {
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -79,7 +79,7 @@
 func (f *Fleet) Do(ctx context.Context, ft Fault) (string, error) {
 	n := ft.Target
 	if ft.Action == "join" {
-		return f.Join(ctx)
+		return f.Join()
 	}
 	if g, ok := strings.CutPrefix(n, "primary@"); ok {
 		n = f.Primary(ctx, g)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,7 +3,6 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,9 +21,11 @@
 
 	"stoneford/cleanup"
 	"stoneford/control"
+	"stoneford/databaseclient"
 	"stoneford/operators"
 	"stoneford/standin/databasecopy"
 	"stoneford/standin/link"
+	"stoneford/standin/platform"
 )
 
 // Shape is a deployment's sizes.
@@ -61,27 +62,28 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Shape  Shape
-	bin    string
-	folder string
-	procs  map[string]*proc
-	order  []string
-	addr   map[string]string // databases' addresses
-	ops    []string          // operators' addresses
-	plat   string
-	seeds  []string
-	nodes  []string // callers' addresses of all pool nodes
-	free   []string // ports not taken yet
-	died   []string
-	mu     sync.Mutex
-	clean  cleanup.Stack
+	Shape    Shape
+	bin      string
+	folder   string
+	procs    map[string]*proc
+	order    []string
+	addr     map[string]string // databases' addresses
+	ops      []string          // operators' addresses
+	plat     string            // the platform's address
+	platform *platform.Server
+	seeds    []string
+	nodes    []string // callers' addresses of all pool nodes
+	free     []string // ports not taken yet
+	died     []string
+	mu       sync.Mutex
+	clean    cleanup.Stack
 }
 
 // Token is what the fleet's operators send.
 const Token = "operators-token"
 
 // Programs a fleet is made of.
-var programs = []string{"./cmd/stoneford-pool", "./cmd/stoneford-control", "./standin/standin-database", "./standin/standin-platform"}
+var programs = []string{"./cmd/stoneford-pool", "./cmd/stoneford-control", "./standin/standin-database"}
 
 // Build builds the programs into a folder, from the module's root.
 func Build(ctx context.Context, root, bin string) error {
@@ -155,7 +157,7 @@
 			return nil, err
 		}
 	}
-	f.add(&proc{name: "platform", kind: "standin-platform", http: f.plat, args: []string{"--listen", f.plat, "--nodes", strings.Join(f.nodes, ",")}})
+	f.platform = platform.New(f.nodes, platform.Hands{Replace: f.replace, Stop: f.stopMachine})
 	return f, nil
 }
 
@@ -178,7 +180,7 @@
 }
 
 // Join has a new machine join: its node is started and the platform told.
-func (f *Fleet) Join(ctx context.Context) (string, error) {
+func (f *Fleet) Join() (string, error) {
 	if len(f.free) < 4 {
 		return "", errors.New("no more machines are kept")
 	}
@@ -189,19 +191,34 @@
 	if err := f.start(f.procs[n]); err != nil {
 		return n, err
 	}
-	b, err := json.Marshal(f.nodes)
-	if err != nil {
-		return n, err
-	}
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.plat+"/v1/nodes", bytes.NewReader(b))
-	if err != nil {
-		return n, err
+	f.platform.SetNodes(f.nodes)
+	return n, nil
+}
+
+// replace loses a database's disk and starts it empty, if it is still the copy
+// that was meant.
+func (f *Fleet) replace(database, identity string) error {
+	p := f.procs[database]
+	if p == nil {
+		return fmt.Errorf("no database %q", database)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	st, err := databaseclient.New().Poll(ctx, p.http, 0, 0, 0)
+	if err == nil && st.Identity != identity {
+		return nil
 	}
-	r, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return n, err
+	_, err = f.Do(context.Background(), Fault{Action: "wipe", Target: database})
+	return err
+}
+
+func (f *Fleet) stopMachine(machine string) error {
+	p := f.procs[machine]
+	if p == nil {
+		return fmt.Errorf("no machine %q", machine)
 	}
-	return n, r.Body.Close()
+	go p.signal(syscall.SIGTERM, true)
+	return nil
 }
 
 // link puts a link in front of a process.
@@ -320,6 +337,13 @@
 
 // Start starts every process and puts the configuration in force.
 func (f *Fleet) Start(ctx context.Context) error {
+	pctx, end := context.WithCancel(context.Background())
+	f.clean.Push(func() error { end(); return nil })
+	pl, err := net.Listen("tcp", f.plat)
+	if err != nil {
+		return err
+	}
+	go f.platform.Serve(pctx, pl)
 	f.clean.Push(func() error {
 		for _, n := range f.order {
 			f.procs[n].signal(syscall.SIGKILL, true)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,5 +1,5 @@
 // Package platform is the stand-in for the users' platform: it hands out ready
-// nodes and carries takeovers out.
+// nodes, carries takeovers out, replaces databases and stops machines.
 package platform
 
 import (
@@ -22,11 +22,21 @@
 	ready  []string          // of those that are ready
 	epochs map[string]uint64 // highest epoch asked for, by group
 	target map[string]string
+	hands  Hands
+}
+
+// Hands do to processes what the platform decides.
+type Hands struct {
+	// Replace puts an empty database in the place of the copy of that identity;
+	// asked again it does nothing.
+	Replace func(database, identity string) error
+	// Stop stops a machine's pool node with its grace.
+	Stop func(machine string) error
 }
 
 // New makes a platform over nodes.
-func New(nodes []string) *Server {
-	return &Server{nodes: slices.Clone(nodes), epochs: map[string]uint64{}, target: map[string]string{}}
+func New(nodes []string, h Hands) *Server {
+	return &Server{nodes: slices.Clone(nodes), hands: h, epochs: map[string]uint64{}, target: map[string]string{}}
 }
 
 type takeover struct {
@@ -45,17 +55,8 @@
 		defer s.mu.Unlock()
 		json.NewEncoder(w).Encode(s.ready)
 	})
-	m.HandleFunc("PUT /v1/nodes", func(w http.ResponseWriter, r *http.Request) {
-		var ns []string
-		if err := json.NewDecoder(r.Body).Decode(&ns); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.mu.Lock()
-		s.nodes = ns
-		s.mu.Unlock()
-		json.NewEncoder(w).Encode(ns)
-	})
+	m.HandleFunc("POST /v1/replace", s.hand(func(a handArgs) error { return s.hands.Replace(a.Database, a.Identity) }))
+	m.HandleFunc("POST /v1/stop", s.hand(func(a handArgs) error { return s.hands.Stop(a.Machine) }))
 	hs := &http.Server{Handler: m}
 	go s.look(ctx)
 	go func() { <-ctx.Done(); hs.Close() }()
@@ -65,6 +66,36 @@
 	return nil
 }
 
+// SetNodes names the pool nodes there are.
+func (s *Server) SetNodes(ns []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = slices.Clone(ns)
+}
+
+type handArgs struct {
+	Database string `json:"database"`
+	Address  string `json:"address"`
+	Identity string `json:"identity"`
+	Machine  string `json:"machine"`
+}
+
+func (s *Server) hand(f func(handArgs) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var a handArgs
+		if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := f(a); err != nil {
+			w.WriteHeader(http.StatusConflict)
+			json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+			return
+		}
+		json.NewEncoder(w).Encode(struct{}{})
+	}
+}
+
 // look asks every node whether it is ready.
 func (s *Server) look(ctx context.Context) {
 	c := &http.Client{Timeout: 300 * time.Millisecond}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -46,7 +46,7 @@
 type Place struct{ Name, Address string }
 
 // Report sums what pool nodes say of one database lately.
-type Report struct{ Reach, Miss int }
+type Report struct{ Reach, Miss, Busy int }
 
 // Input is what a step is told beside the time.
 type Input struct {
@@ -380,6 +380,24 @@
 // worse decides among copies that are equally far.
 func worse(st *schema.GroupState, name string, s Status) bool { return name == st.Avoid || s.Leaving }
 
+// Well says why the group could not bear the loss of a copy now, "" if it
+// could: all members answer, as agreed, in the open epoch.
+func (g *Group) Well(now int64, st *schema.GroupState) string {
+	if st.Phase != schema.Phase_OPEN {
+		return "a takeover is under way"
+	}
+	for _, a := range st.Members {
+		m := g.m[a.Database]
+		if m == nil || !m.known || m.failing > 0 {
+			return a.Database + " does not answer"
+		}
+		if m.status.Identity != a.Identity || m.status.Epoch != st.Epoch || m.status.LogEpoch != st.Epoch {
+			return a.Database + " has not caught up"
+		}
+	}
+	return ""
+}
+
 // allowNew lets a copy with a new disk count as a member once it holds all the
 // primary held after the new disk was first seen: whatever the lost disk
 // vouched for is then on the new one.
