--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -72,7 +73,7 @@
 			if f.halted {
 				return
 			}
-			s.send(querytable.Query{Class: "reserve", Statements: stmts("add ticks t 1")}, func(r querytable.Return) {
+			s.send(querytable.Query{Class: s.f.class["current"], Statements: stmts("add ticks t 1")}, func(r querytable.Return) {
 				if r.Outcome == result.Done {
 					f.Truth.Ticked(s.route)
 				}
@@ -88,8 +89,18 @@
 	}
 }
 
+// route is the first route that leads to a group.
+func (f *Fleet) route(group string) string {
+	for _, n := range slices.Sorted(maps.Keys(f.Cf.Routes)) {
+		if f.Cf.Routes[n].Group == group {
+			return n
+		}
+	}
+	return ""
+}
+
 func (f *Fleet) session(name, group string) *session {
-	s := &session{f: f, name: name, group: partner + "/" + group, route: partner + "/" + group}
+	s := &session{f: f, name: name, group: f.partner + "/" + group, route: f.partner + "/" + f.route(group)}
 	f.sessions = append(f.sessions, s)
 	return s
 }
@@ -108,11 +119,11 @@
 	case p < 0.55:
 		s.transaction(done)
 	case p < 0.60:
-		s.read(checker.Current, querytable.Query{Class: "reserve", ReadOnly: true}, done)
+		s.read(checker.Current, querytable.Query{Class: s.f.class["current"], ReadOnly: true}, done)
 	case p < 0.87:
-		s.read(checker.Lookup, querytable.Query{Class: "lookup"}, done)
+		s.read(checker.Lookup, querytable.Query{Class: s.f.class["stale"]}, done)
 	default:
-		s.read(checker.Pinned, querytable.Query{Class: "pickup"}, done)
+		s.read(checker.Pinned, querytable.Query{Class: s.f.class["pinned"]}, done)
 	}
 }
 
@@ -244,7 +255,7 @@
 	try = func() {
 		n++
 		tag := s.tag()
-		s.send(querytable.Query{Name: tag, Class: "reserve", Statements: stmts("add ledger " + tag + " 1")}, func(r querytable.Return) {
+		s.send(querytable.Query{Name: tag, Class: s.f.class["current"], Statements: stmts("add ledger " + tag + " 1")}, func(r querytable.Return) {
 			s.wrote(tag, r.Outcome)
 			if again(r) && s.f.Now-t0 < patience && !s.f.halted {
 				s.f.After(r.RetryAfterUs, try)
@@ -265,9 +276,9 @@
 		tag := s.tag()
 		acked, key := s.f.Truth.Ticks(s.route), strconv.Itoa(s.f.R.IntN(50))
 		steps := []querytable.Query{
-			{Class: "reserve", Begin: true, Statements: stmts("read ticks t stock "+key, "value mark")},
-			{Class: "reserve", Statements: []querytable.Statement{{Text: "add stock ? -1", Params: []string{key}}, {Prepared: "mine"}}},
-			{Class: "reserve", Commit: true, Statements: stmts("add ledger "+tag+" 1", "add own "+s.name+" 1")},
+			{Class: s.f.class["current"], Begin: true, Statements: stmts("read ticks t stock "+key, "value mark")},
+			{Class: s.f.class["current"], Statements: []querytable.Statement{{Text: "add stock ? -1", Params: []string{key}}, {Prepared: "mine"}}},
+			{Class: s.f.class["current"], Commit: true, Statements: stmts("add ledger "+tag+" 1", "add own "+s.name+" 1")},
 		}
 		if s.bare {
 			steps[1].Statements[1] = querytable.Statement{Text: "value mark"}
@@ -347,10 +358,10 @@
 			f.Bad("%s has no primary 20 s after everything was mended", g)
 			continue
 		}
-		logs[partner+"/"+g] = p.c.Log(0)
+		logs[f.partner+"/"+f.route(g)] = p.c.Log(0)
 	}
 	read := false
-	f.Operate(f.Controls[0], func(id uint64) any { return control.GetSettings{ID: id, Partner: partner} }, func(r control.Return) {
+	f.Operate(f.Controls[0], func(id uint64) any { return control.GetSettings{ID: id, Partner: f.partner} }, func(r control.Return) {
 		read = true
 		if r.Code != result.OK || r.Revision < f.Truth.accepted.Revision || r.Revision == f.Truth.accepted.Revision && string(r.Text) != string(f.Truth.accepted.Text) {
 			f.Bad("read back %d revision %d, and %d was told accepted", r.Code, r.Revision, f.Truth.accepted.Revision)
@@ -361,7 +372,7 @@
 		f.Bad("the configuration could not be read back")
 	}
 	for _, n := range f.Nodes {
-		if r := n.core.InForce()["config/"+partner]; r < f.Truth.accepted.Revision {
+		if r := n.core.InForce()["config/"+f.partner]; r < f.Truth.accepted.Revision {
 			f.Bad("%s works by revision %d, and %d was accepted long ago", n.boot.Name, r, f.Truth.accepted.Revision)
 		}
 	}
@@ -371,7 +382,7 @@
 // Primary is a group's primary, as agreed and as it is itself.
 func (f *Fleet) Primary(group string) *DB {
 	for _, c := range f.Controls {
-		if st := control.GroupState(c.core.Held(control.GroupPrefix + partner + "/" + group)); st.Primary != "" {
+		if st := control.GroupState(c.core.Held(control.GroupPrefix + f.partner + "/" + group)); st.Primary != "" {
 			d := f.DBs[st.Primary]
 			if d != nil && d.up && d.c.Primary && d.c.Epoch == st.Epoch {
 				return d
--- a/simulation/databases.go
+++ b/simulation/databases.go
@@ -25,6 +25,7 @@
 	gen     int
 	ids     int
 	lives   int
+	limit   int
 	waiters []waiter
 	held    []func()
 	busy    []int64 // when each server is free again
@@ -37,8 +38,8 @@
 	done     *bool
 }
 
-func (f *Fleet) addDB(name, group, addr, zone string) {
-	d := &DB{f: f, name: name, group: group, addr: addr, zone: zone, lag: f.Plan.LagUs}
+func (f *Fleet) addDB(name, group, addr, zone string, limit int) {
+	d := &DB{f: f, limit: limit, name: name, group: group, addr: addr, zone: zone, lag: f.Plan.LagUs}
 	f.DBs[name], f.byAddr[addr] = d, d
 	d.fresh()
 	d.start()
@@ -47,7 +48,7 @@
 // fresh gives the database an empty disk.
 func (d *DB) fresh() {
 	d.ids++
-	d.c = databasecopy.New(d.name, fmt.Sprintf("%s#%d", d.name, d.ids), int(d.f.Plan.Connections), d.firstConn())
+	d.c = databasecopy.New(d.name, fmt.Sprintf("%s#%d", d.name, d.ids), d.limit, d.firstConn())
 }
 
 // firstConn is another for each life of the process.
@@ -64,7 +65,7 @@
 func (d *DB) crash() {
 	d.up = false
 	k, log := d.c.Kept, d.c.Log(0)
-	c := databasecopy.New(d.name, k.Identity, int(d.f.Plan.Connections), d.firstConn())
+	c := databasecopy.New(d.name, k.Identity, d.limit, d.firstConn())
 	c.Restore(k, log)
 	d.c = c
 }
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -154,8 +154,7 @@
 		}
 	}
 	for _, g := range f.Plan.Groups {
-		for j := range 3 {
-			n := fmt.Sprintf("%s-%c", g, 'a'+j)
+		for _, n := range f.Cf.Groups[g].Members {
 			d := f.DBs[n]
 			d.dark, d.noTake, d.noApply, d.slow, d.lag, d.lose, d.c.Leaving = false, false, false, 0, f.Plan.LagUs, 0, false
 			if !d.up {
@@ -193,15 +192,15 @@
 		if !c.up || c.paused {
 			continue
 		}
-		st := control.GroupState(c.core.Held(control.GroupPrefix + partner + "/" + g))
+		st := control.GroupState(c.core.Held(control.GroupPrefix + f.partner + "/" + g))
 		if st.Epoch == p.c.Epoch {
 			for _, m := range st.Members {
 				ids[m.Database] = m.Identity
 			}
 		}
 	}
-	for j := range 3 {
-		d := f.DBs[fmt.Sprintf("%s-%c", g, 'a'+j)]
+	for _, n := range f.Cf.Groups[g].Members {
+		d := f.DBs[n]
 		if !d.answers() || d.noTake || d.c.Epoch != p.c.Epoch || d.c.LogEpoch() != p.c.Epoch || ids[d.name] != d.c.Identity || p.c.Received()-d.c.Received() > 50 {
 			return false
 		}
@@ -221,7 +220,7 @@
 func (f *Fleet) randomFault() {
 	later := func(lo, hi int64, do func()) { f.After(f.Between(lo, hi), do) }
 	g := f.Plan.Groups[f.R.IntN(len(f.Plan.Groups))]
-	db := fmt.Sprintf("%s-%c", g, 'a'+f.R.IntN(3))
+	db := f.Cf.Groups[g].Members[f.R.IntN(3)]
 	if p := f.Primary(g); p != nil && f.Chance(0.5) {
 		db = p.name
 	}
@@ -269,8 +268,8 @@
 	case 7:
 		// Replicas stop receiving just as the primary goes dark.
 		f.say("fault: %s goes dark and a replica stands still", db)
-		for j := range 3 {
-			if o := f.DBs[fmt.Sprintf("%s-%c", g, 'a'+j)]; o != d {
+		for _, m := range f.Cf.Groups[g].Members {
+			if o := f.DBs[m]; o != d {
 				o.noTake = true
 				later(100_000, 3_000_000, func() { o.noTake = false })
 				break
@@ -350,7 +349,7 @@
 		}
 		f.say("operator %d sends a change on revision %d", i, base)
 		f.Operate(c, func(id uint64) any {
-			return control.PutSettings{ID: id, Partner: partner, Base: base, Patch: true, Text: []byte(text)}
+			return control.PutSettings{ID: id, Partner: f.partner, Base: base, Patch: true, Text: []byte(text)}
 		}, func(r control.Return) {
 			f.say("operator %d hears %d revision %d", i, r.Code, r.Revision)
 			switch {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -10,6 +10,7 @@
 	"stoneford/pool"
 	"stoneford/querytable"
 	"stoneford/schema"
+	"stoneford/settings"
 	"stoneford/standin/databasecopy"
 	"stoneford/takeover"
 )
@@ -17,6 +18,8 @@
 // Plan is what a simulated fleet is made of and what it has to bear.
 type Plan struct {
 	Seed        uint64
+	Partner     string // default pharmacies
+	Settings    []byte // a configuration as operators send it; without one it is made of Groups, Zones and Connections
 	Machines    int
 	Groups      []string
 	Zones       []string
@@ -43,8 +46,6 @@
 	TornSession             // a connection is said to be reset and is not
 )
 
-const partner = "pharmacies"
-
 type controlProc struct {
 	boot *schema.Boot
 	core *control.Core
@@ -78,6 +79,9 @@
 type Fleet struct {
 	*World
 	Plan     Plan
+	Cf       *schema.Configuration
+	partner  string
+	class    map[string]string // a class's name by its kind
 	Net      *Network
 	Controls []*controlProc
 	Nodes    []*nodeProc
@@ -112,7 +116,18 @@
 // NewFleet lays a fleet out and starts it.
 func NewFleet(p Plan) *Fleet {
 	w := NewWorld(p.Seed)
-	f := &Fleet{World: w, Plan: p, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, answers: map[uint64]func(control.Answer){},
+	if p.Partner == "" {
+		p.Partner = "pharmacies"
+	}
+	if p.Settings == nil {
+		p.Settings = p.settings()
+	}
+	cf, ps := settings.ReadConfiguration(p.Settings)
+	if len(ps) > 0 {
+		panic(fmt.Sprint("simulation: ", ps))
+	}
+	p.Groups = slices.Sorted(maps.Keys(cf.Groups))
+	f := &Fleet{World: w, Plan: p, Cf: cf, partner: p.Partner, class: map[string]string{}, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, answers: map[uint64]func(control.Answer){},
 		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, PlatformUs: 5_000}
 	f.Truth = newTruth(f)
 	f.Net.Take = f.take
@@ -122,42 +137,49 @@
 	}
 	zone := func(i int) string { return p.Zones[i%len(p.Zones)] }
 	for i, a := range seeds {
-		c := &controlProc{boot: &schema.Boot{Name: fmt.Sprintf("control-%d", i+1), Zone: zone(i), Partner: partner, Listen: a, Http: a, Seeds: seeds, DataFolder: "x"}}
+		c := &controlProc{boot: &schema.Boot{Name: fmt.Sprintf("control-%d", i+1), Zone: zone(i), Partner: f.partner, Listen: a, Http: a, Seeds: seeds, DataFolder: "x"}}
 		f.Controls = append(f.Controls, c)
 		f.startControl(c)
 	}
 	for i := range p.Machines {
 		a := fmt.Sprintf("10.0.1.%d:1", i+1)
-		n := &nodeProc{f: f, boot: &schema.Boot{Name: fmt.Sprintf("pool-%d", i+1), Zone: zone(i), Partner: partner, Listen: a, Http: a, Seeds: seeds}}
+		n := &nodeProc{f: f, boot: &schema.Boot{Name: fmt.Sprintf("pool-%d", i+1), Zone: zone(i), Partner: f.partner, Listen: a, Http: a, Seeds: seeds}}
 		f.Nodes = append(f.Nodes, n)
 		f.startNode(n)
 	}
-	for gi, g := range p.Groups {
-		for j := range 3 {
-			f.addDB(fmt.Sprintf("%s-%c", g, 'a'+j), g, fmt.Sprintf("10.0.2.%d:1", gi*3+j+1), zone(gi+j))
+	for _, g := range p.Groups {
+		for _, m := range cf.Groups[g].Members {
+			f.addDB(m, g, cf.Databases[m].Address, cf.Databases[m].Zone, int(cf.Databases[m].Connections))
 		}
 	}
+	for _, k := range slices.Sorted(maps.Keys(cf.Classes)) {
+		f.class[cf.Classes[k].Kind] = k
+	}
 	return f
 }
 
-// Settings is the fleet's configuration.
-func (f *Fleet) Settings() map[string]any {
+// settings is a configuration of the plan's groups.
+func (p Plan) settings() []byte {
 	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
-	for _, g := range f.Plan.Groups {
+	for i, g := range p.Groups {
 		var ms []string
 		for j := range 3 {
 			n := fmt.Sprintf("%s-%c", g, 'a'+j)
 			ms = append(ms, n)
-			dbs[n] = map[string]any{"address": f.DBs[n].addr, "zone": f.DBs[n].zone, "connections": f.Plan.Connections}
+			dbs[n] = map[string]any{"address": fmt.Sprintf("10.0.2.%d:1", i*3+j+1), "zone": p.Zones[(i+j)%len(p.Zones)], "connections": p.Connections}
 		}
 		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
 		rs[g] = map[string]any{"group": g, "classes": []string{"reserve", "lookup", "pickup"}}
 	}
-	return map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
+	b, err := json.Marshal(map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
 		"reserve": map[string]any{"kind": "current"},
 		"lookup":  map[string]any{"kind": "stale", "stale_us": 1_500_000},
 		"pickup":  map[string]any{"kind": "pinned", "stale_us": 2_500_000},
-	}}
+	}})
+	if err != nil {
+		panic(err)
+	}
+	return b
 }
 
 func (f *Fleet) runNumber() uint64 { return uint64(f.Now) }
@@ -406,8 +428,8 @@
 		}
 	}
 	for db, s := range sum {
-		if s > int(f.Plan.Connections) {
-			f.Bad("nodes are permitted %d connections to %s, the limit is %d", s, db, f.Plan.Connections)
+		if l := int(f.Cf.Databases[db].Connections); s > l {
+			f.Bad("nodes are permitted %d connections to %s, the limit is %d", s, db, l)
 		}
 	}
 }
@@ -529,10 +551,7 @@
 
 // PutSettings sends a configuration until it is in force.
 func (f *Fleet) PutSettings(done func()) {
-	b, err := json.Marshal(f.Settings())
-	if err != nil {
-		panic(err)
-	}
+	b := f.Plan.Settings
 	var try func()
 	try = func() {
 		c := f.Controls[f.R.IntN(3)]
@@ -540,7 +559,7 @@
 			f.After(200_000, try)
 			return
 		}
-		f.Operate(c, func(id uint64) any { return control.PutSettings{ID: id, Partner: partner, Text: b} }, func(r control.Return) {
+		f.Operate(c, func(id uint64) any { return control.PutSettings{ID: id, Partner: f.partner, Text: b} }, func(r control.Return) {
 			if r.Revision == 0 {
 				f.After(200_000, try)
 				return
