--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -256,3 +257,15 @@
 	}
 	return c, ps.ps
 }
+
+// Write gives a configuration's JSON text, names as in the schema.
+func Write(m proto.Message) ([]byte, error) {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	// Whole numbers of 64 bits are texts there; here they are numbers.
+	return wholeNumbers.ReplaceAll(b, []byte(`$1$2`)), nil
+}
+
+var wholeNumbers = regexp.MustCompile(`("[a-z_]+_us": ?)"(\d+)"`)
--- a/simulation/databases.go
+++ b/simulation/databases.go
@@ -139,7 +139,7 @@
 		}
 	}
 	db := f.byAddr[addr]
-	f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() {
+	f.After(f.Net.Delay(from, addr), func() {
 		switch {
 		case db == nil || !db.up:
 			f.After(100, func() { finish(nil, false) }) // refused
@@ -149,7 +149,7 @@
 		}
 		gen := db.gen
 		reply := func(v any) {
-			f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() {
+			f.After(f.Net.Delay(addr, from), func() {
 				if f.Net.Reaches(addr, from) && !db.dark {
 					finish(v, true)
 				}
@@ -207,13 +207,13 @@
 		d.asked = d.c.Received()
 	}
 	after, ae := d.asked, d.c.EpochAt(d.asked)
-	f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() {
+	f.After(f.Net.Delay(d.addr, p.addr), func() {
 		if !p.answers() || !f.Net.Reaches(d.addr, p.addr) || !f.Net.Reaches(p.addr, d.addr) {
 			again(20_000)
 			return
 		}
 		es, back, ok := p.c.Give(epoch, after, ae, 500)
-		f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() {
+		f.After(f.Net.Delay(p.addr, d.addr), func() {
 			if !d.up || d.gen != gen {
 				return
 			}
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"stoneford/control"
+	"stoneford/language"
 	"stoneford/pool"
 	"stoneford/querytable"
 	"stoneford/result"
@@ -132,6 +133,32 @@
 	return append(as, slices.Sorted(maps.Keys(f.byAddr))...)
 }
 
+// ZoneGone ends everything that stands in a zone.
+func (f *Fleet) ZoneGone(zone string) {
+	for i, c := range f.Controls {
+		if c.boot.Zone == zone {
+			f.KillControl(i)
+		}
+	}
+	for i, n := range f.Nodes {
+		if n.boot.Zone == zone {
+			f.KillNode(i)
+		}
+	}
+	for _, a := range slices.Sorted(maps.Keys(f.byAddr)) {
+		if d := f.byAddr[a]; d.zone == zone {
+			f.KillDB(d.name)
+		}
+	}
+}
+
+// Lag has every replica apply a commit so much later.
+func (f *Fleet) Lag(us int64) {
+	for _, d := range f.DBs {
+		d.lag = us
+	}
+}
+
 // Address is where the database is reached.
 func (d *DB) Address() string { return d.addr }
 
@@ -363,3 +390,18 @@
 		})
 	}
 }
+
+// Slow has each run of a database take so much longer.
+func (f *Fleet) Slow(n string, us int64) { f.DBs[n].slow = us }
+
+// Places are the databases, as the language names them.
+func (f *Fleet) Places() []language.Place {
+	var ps []language.Place
+	for _, g := range f.Plan.Groups {
+		p := f.Primary(g)
+		for _, n := range f.Cf.Groups[g].Members {
+			ps = append(ps, language.Place{Name: n, Partner: f.partner, Group: f.partner + "/" + g, Zone: f.DBs[n].zone, Primary: p == f.DBs[n]})
+		}
+	}
+	return ps
+}
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -31,6 +31,8 @@
 	LagUs       int64 // replicas apply a commit this much late
 	Choice      string
 	Position    bool
+	DelayUs     int64 // greatest delay of one way, 0 for 1500
+	BetweenUs   int64 // added to each way between two zones
 	Plant       Plant
 }
 
@@ -129,6 +131,9 @@
 	p.Groups = slices.Sorted(maps.Keys(cf.Groups))
 	f := &Fleet{World: w, Plan: p, Cf: cf, partner: p.Partner, class: map[string]string{}, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, answers: map[uint64]func(control.Answer){},
 		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, PlatformUs: 5_000}
+	if p.DelayUs > 0 {
+		f.Net.DelayLo, f.Net.DelayHi = p.DelayUs/10, p.DelayUs
+	}
 	f.Truth = newTruth(f)
 	f.Net.Take = f.take
 	var seeds []string
@@ -152,6 +157,22 @@
 			f.addDB(m, g, cf.Databases[m].Address, cf.Databases[m].Zone, int(cf.Databases[m].Connections))
 		}
 	}
+	zones := map[string]string{}
+	for _, c := range f.Controls {
+		zones[c.boot.Listen] = c.boot.Zone
+	}
+	for _, n := range f.Nodes {
+		zones[n.boot.Listen] = n.boot.Zone
+	}
+	for a, d := range f.byAddr {
+		zones[a] = d.zone
+	}
+	f.Net.Extra = func(a, b string) int64 {
+		if zones[a] == zones[b] {
+			return 0
+		}
+		return p.BetweenUs
+	}
 	for _, k := range slices.Sorted(maps.Keys(cf.Classes)) {
 		f.class[cf.Classes[k].Kind] = k
 	}
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -75,14 +75,14 @@
 	Drop, Double float64
 	DelayLo      int64
 	DelayHi      int64
+	Extra        func(from, to string) int64 // added to the delay between two places
 	cut          map[[2]string]bool
 	Take         func(to string, e *schema.Envelope)
-	Sent         map[string]int // by kind of envelope
 }
 
 // NewNetwork makes a network without faults.
 func NewNetwork(w *World) *Network {
-	return &Network{W: w, DelayLo: 100, DelayHi: 1500, cut: map[[2]string]bool{}, Sent: map[string]int{}}
+	return &Network{W: w, DelayLo: 100, DelayHi: 1500, cut: map[[2]string]bool{}}
 }
 
 // Cut breaks or mends one direction between two places.
@@ -94,6 +94,15 @@
 // Reaches says whether one direction works.
 func (n *Network) Reaches(from, to string) bool { return !n.cut[[2]string{from, to}] }
 
+// Delay is how long one way takes now.
+func (n *Network) Delay(from, to string) int64 {
+	d := n.W.Between(n.DelayLo, n.DelayHi)
+	if n.Extra != nil {
+		d += n.Extra(from, to)
+	}
+	return d
+}
+
 // Send sends from a place. The envelope is encoded and decoded again, as
 // between real processes.
 func (n *Network) Send(from string, s step.Send) {
@@ -113,7 +122,7 @@
 		panic(err)
 	}
 	for range times {
-		n.W.After(n.W.Between(n.DelayLo, n.DelayHi), func() {
+		n.W.After(n.Delay(from, s.To), func() {
 			e := &schema.Envelope{}
 			if err := proto.Unmarshal(b, e); err != nil {
 				panic(err)
--- /dev/null
+++ b/whatif/whatif.go
@@ -0,0 +1,279 @@
+// Package whatif answers what-if questions by running the daemons' own cores
+// in the seeded simulation, with and without what is asked about.
+package whatif
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/samber/lo"
+	"github.com/zeebo/errs"
+
+	"stoneford/language"
+	"stoneford/settings"
+	"stoneford/simulation"
+	"stoneford/standin/checker"
+)
+
+// Case is a deployment and its load.
+type Case struct {
+	Plan simulation.Plan
+	Rate float64 // queries a second
+	// AtUs is when what is asked about comes, ForUs how long is looked at from
+	// then on.
+	AtUs  int64
+	ForUs int64
+}
+
+// Examples are today's sizes.
+var Examples = map[string]Case{
+	"pharmacies": example("pharmacies", 11, []string{"cluj", "iasi", "brasov"}, "inventory", 65),
+	"lender":     example("lender", 10, []string{"north", "middle", "south"}, "ledger", 80),
+}
+
+func example(partner string, machines int, zones []string, group string, connections int32) Case {
+	return Case{Rate: 450, AtUs: 5_000_000, ForUs: 10_000_000, Plan: simulation.Plan{Partner: partner, Machines: machines, Zones: zones,
+		Groups: []string{group + "-1", group + "-2", group + "-3"}, Connections: connections, Sessions: 290, ServiceUs: 1_000, Servers: 8, LagUs: 5_000, BetweenUs: 1_000}}
+}
+
+// Change is one thing asked about.
+type Change struct {
+	Text  string
+	setup func(*Case) error                    // before the start
+	event func(*simulation.Fleet, *Case) error // at its time
+}
+
+// Help lists what can be asked.
+const Help = `NAME out               a database, by its name or in words: the Cluj replica of inventory-1
+zone ZONE gone         every process and database in a zone
+half the connections   or: connections N
+replication lags 2 s   or: 300 ms
+load x4                so many times the queries
+machines N             so many pool nodes
+slow NAME 50 ms        each run of a database takes so much longer`
+
+var (
+	reLag   = regexp.MustCompile(`^replication lags (\d+) ?(s|ms)$`)
+	reLoad  = regexp.MustCompile(`^load x(\d+(?:\.\d+)?)$`)
+	reConn  = regexp.MustCompile(`^connections (\d+)$`)
+	reMach  = regexp.MustCompile(`^machines (\d+)$`)
+	reZone  = regexp.MustCompile(`^(?:zone )?(\S+) gone$`)
+	reSlow  = regexp.MustCompile(`^slow (.+) (\d+) ?(s|ms)$`)
+	reOut   = regexp.MustCompile(`^(.+?)(?: is)? out$`)
+	errName = errs.Class("what if")
+)
+
+func us(n, unit string) int64 {
+	v, _ := strconv.ParseInt(n, 10, 64)
+	return v * lo.Ternary(unit == "s", int64(1_000_000), 1_000)
+}
+
+// Parse reads one thing that is asked about.
+func Parse(text string) (Change, error) {
+	t := strings.Join(strings.Fields(strings.ToLower(text)), " ")
+	c := Change{Text: t}
+	connections := func(f func(int32) int32) {
+		c.setup = func(k *Case) error {
+			if k.Plan.Settings == nil {
+				k.Plan.Connections = f(k.Plan.Connections)
+				return nil
+			}
+			cf, ps := settings.ReadConfiguration(k.Plan.Settings)
+			if len(ps) > 0 {
+				return errName.New("%s", ps[0])
+			}
+			for _, d := range cf.Databases {
+				d.Connections = f(d.Connections)
+			}
+			b, err := settings.Write(cf)
+			k.Plan.Settings = b
+			return err
+		}
+	}
+	if m := reLag.FindStringSubmatch(t); m != nil {
+		c.event = func(f *simulation.Fleet, _ *Case) error { f.Lag(us(m[1], m[2])); return nil }
+	} else if m := reLoad.FindStringSubmatch(t); m != nil {
+		x, err := strconv.ParseFloat(m[1], 64)
+		if err != nil || x <= 0 {
+			return c, errName.New("%q: not a load", text)
+		}
+		c.setup = func(k *Case) error { k.Rate *= x; return nil }
+	} else if t == "half the connections" {
+		connections(func(n int32) int32 { return max(1, n/2) })
+	} else if m := reConn.FindStringSubmatch(t); m != nil {
+		n, err := strconv.ParseInt(m[1], 10, 32)
+		if err != nil || n < 1 {
+			return c, errName.New("%q: not a number of connections", text)
+		}
+		connections(func(int32) int32 { return int32(n) })
+	} else if m := reMach.FindStringSubmatch(t); m != nil {
+		n, err := strconv.Atoi(m[1])
+		if err != nil || n < 1 {
+			return c, errName.New("%q: not a number of machines", text)
+		}
+		c.setup = func(k *Case) error { k.Plan.Machines = n; return nil }
+	} else if m := reSlow.FindStringSubmatch(t); m != nil {
+		c.event = func(f *simulation.Fleet, _ *Case) error {
+			n, err := database(f, m[1])
+			if err == nil {
+				f.Slow(n, us(m[2], m[3]))
+			}
+			return err
+		}
+	} else if m := reZone.FindStringSubmatch(t); m != nil {
+		c.event = func(f *simulation.Fleet, k *Case) error {
+			if !slices.Contains(k.Plan.Zones, m[1]) {
+				return errName.New("no zone %q; there are: %s", m[1], strings.Join(k.Plan.Zones, ", "))
+			}
+			f.ZoneGone(m[1])
+			return nil
+		}
+	} else if m := reOut.FindStringSubmatch(t); m != nil {
+		c.event = func(f *simulation.Fleet, _ *Case) error {
+			n, err := database(f, m[1])
+			if err == nil {
+				f.KillDB(n)
+			}
+			return err
+		}
+	} else {
+		return c, errName.New("%q is not understood; these are:\n%s", text, Help)
+	}
+	return c, nil
+}
+
+// database finds the one database that words name.
+func database(f *simulation.Fleet, words string) (string, error) {
+	var ws []language.Word
+	for i, w := range strings.Fields(words) {
+		ws = append(ws, language.Word{Text: w, Column: i + 1})
+	}
+	p, err := language.Resolve(ws, f.Places(), false)
+	if err != nil {
+		return "", errName.New("%s: %w", words, err)
+	}
+	return p.Name, nil
+}
+
+// Figures are what callers would see.
+type Figures struct {
+	Queries   int                     `json:"queries"`
+	Served    float64                 `json:"served_share"`
+	FirstTry  float64                 `json:"served_at_first_try_share"`
+	P50Us     int64                   `json:"p50_us"`
+	P99Us     int64                   `json:"p99_us"`
+	Kinds     map[string]Kind         `json:"kinds"`
+	Copies    map[string]float64      `json:"reads_by_copy_share"`
+	Ages      map[string]checker.Ages `json:"ages"`
+	Uncertain int                     `json:"uncertain_writes"`
+	Broken    int                     `json:"promises_broken"`
+}
+
+// Kind is one kind of query.
+type Kind struct {
+	Served float64 `json:"served_share"`
+	P50Us  int64   `json:"p50_us"`
+	P99Us  int64   `json:"p99_us"`
+}
+
+// one runs one seed.
+func one(k Case, cs []Change, seed uint64) (Figures, error) {
+	for _, c := range cs {
+		if c.setup != nil {
+			if err := c.setup(&k); err != nil {
+				return Figures{}, err
+			}
+		}
+	}
+	k.Plan.Seed = seed
+	// A transaction is three queries and a tick's session is no person.
+	k.Plan.ThinkUs = int64(float64(k.Plan.Sessions) / k.Rate * 1e6)
+	f := simulation.NewFleet(k.Plan)
+	f.Quiet = true
+	f.PutSettings(nil)
+	f.Run(f.Now + 3_000_000)
+	f.Callers()
+	f.Run(f.Now + k.AtUs)
+	for _, c := range cs {
+		if c.event != nil {
+			if err := c.event(f, &k); err != nil {
+				return Figures{}, err
+			}
+		}
+	}
+	at := f.Now
+	f.Run(at + k.ForUs)
+	end := f.Now
+	v := f.Finish()
+	ss := lo.Filter(f.Truth.Samples, func(s simulation.Sample, _ int) bool { return s.AtUs >= at && s.AtUs < end })
+	ts := simulation.Took(ss)
+	g := Figures{Queries: len(ss), Served: simulation.Served(ss), P50Us: checker.Quantile(ts, 0.5), P99Us: checker.Quantile(ts, 0.99), Kinds: map[string]Kind{},
+		Copies: map[string]float64{}, Ages: v.Ages, Uncertain: v.Unsure, Broken: len(v.Violations)}
+	g.FirstTry = simulation.Served(lo.Map(ss, func(s simulation.Sample, _ int) simulation.Sample {
+		if s.Tries > 1 {
+			s.Outcome = ""
+		}
+		return s
+	}))
+	for n, l := range lo.GroupBy(ss, func(s simulation.Sample) string { return s.Kind }) {
+		t := simulation.Took(l)
+		g.Kinds[n] = Kind{Served: simulation.Served(l), P50Us: checker.Quantile(t, 0.5), P99Us: checker.Quantile(t, 0.99)}
+	}
+	reads := lo.Filter(ss, func(s simulation.Sample, _ int) bool {
+		return s.Copy != "" && s.Kind != "reservation" && s.Kind != "transaction"
+	})
+	for c, n := range lo.CountValuesBy(reads, func(s simulation.Sample) string { return s.Copy }) {
+		g.Copies[c] = float64(n) / float64(len(reads))
+	}
+	return g, nil
+}
+
+// Spread is a figure over the seeds.
+type Spread struct {
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+}
+
+func spread(vs []float64) Spread {
+	slices.Sort(vs)
+	return Spread{Median: vs[len(vs)/2], Min: vs[0], Max: vs[len(vs)-1]}
+}
+
+func (s Spread) String() string { return fmt.Sprintf("%.4g (%.4g to %.4g)", s.Median, s.Min, s.Max) }
+
+// Answer holds the figures of all seeds.
+type Answer struct {
+	Asked []string  `json:"asked"`
+	Seeds []uint64  `json:"seeds"`
+	Runs  []Figures `json:"runs"`
+}
+
+// Ask runs a case over seeds.
+func Ask(k Case, cs []Change, seeds []uint64) (Answer, error) {
+	a := Answer{Seeds: seeds, Runs: make([]Figures, len(seeds))}
+	for _, c := range cs {
+		a.Asked = append(a.Asked, c.Text)
+	}
+	es := make([]error, len(seeds))
+	var wg sync.WaitGroup
+	gate := make(chan struct{}, 8)
+	for i, s := range seeds {
+		wg.Go(func() {
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			a.Runs[i], es[i] = one(k, cs, s)
+		})
+	}
+	wg.Wait()
+	return a, errs.Combine(es...)
+}
+
+// Of sums one figure over the seeds.
+func (a Answer) Of(f func(Figures) float64) Spread {
+	return spread(lo.Map(a.Runs, func(g Figures, _ int) float64 { return f(g) }))
+}
