A copy's usual lag counts in the expected wait

Cause: the wait was expected from the copy's pace alone (positions missing times time per position). A copy that is always 700 ms late but misses few positions looked near, reads waited for it 250 ms in vain and went to the primary then. Ruled out: the pace's own estimate (13 ms a position, as it must be).

--- a/freshness/choose.go
+++ b/freshness/choose.go
@@ -9,6 +9,21 @@
 	BurdenUs int64 // remaining time of what already runs there
 	RunUs    int64 // average past run time of such a query there
 	RateUs   int64 // average time the copy takes to come one position further
+	LagUs    int64 // average time from a commit until the copy has applied it
+}
+
+// wait is how long the copy is expected to take to a level: its pace times what
+// is missing, or its usual lag behind the commit, whichever is longer. A copy
+// that always is a second late comes no sooner for missing little.
+func (c Copy) wait(q *Queue, level, now int64) int64 {
+	if level <= c.Level {
+		return 0
+	}
+	w := (level - c.Level) * c.RateUs
+	if at, ok := q.CommittedUs(level); ok {
+		w = max(w, at+c.LagUs-now)
+	}
+	return w
 }
 
 // Choice is where a read goes and the level it has to wait for.
@@ -30,7 +45,7 @@
 			continue
 		}
 		l = max(l, floor)
-		w := max(0, l-c.Level) * c.RateUs
+		w := c.wait(q, l, now)
 		ch := Choice{Copy: c.Name, Level: l, WaitUs: w, CostUs: c.BurdenUs + c.RunUs + w}
 		switch {
 		case len(best) == 0 || ch.CostUs < best[0].CostUs:
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -8,6 +8,7 @@
 package freshness
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -148,6 +149,16 @@
 	q.entries = slices.Replace(q.entries, i, i+1, es...)
 }
 
+// CommittedUs is the earliest moment a pending position can have been
+// committed; ok is false where the queue holds no entry of it.
+func (q *Queue) CommittedUs(pos int64) (at int64, ok bool) {
+	i, _ := slices.BinarySearchFunc(q.entries, pos, func(e Entry, p int64) int { return cmp.Compare(e.Last, p) })
+	if i == len(q.entries) || q.entries[i].First > pos {
+		return 0, false
+	}
+	return q.entries[i].CommitUs, true
+}
+
 // Applied moves a copy's pointer; it never moves back but through Drop.
 func (q *Queue) Applied(c string, pos int64) {
 	if q.levels == nil {
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -76,6 +76,9 @@
 			m.rateUs += ((now-m.rateAt)/(s.Applied-old.Applied) - m.rateUs) / 8
 		}
 		m.rateAt, m.rateFrom = now, s.Applied
+		if at, ok := t.fresh.CommittedUs(s.Applied); ok {
+			m.lagUs += (now - at - m.lagUs) / 8
+		}
 	}
 	if m.known && s.Applied == old.Applied && s.Applied < t.fresh.Master() {
 		if m.stuck == 0 {
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -110,7 +110,7 @@
 				continue
 			}
 			cs = append(cs, freshness.Copy{Name: m.Name, Level: t.members[m.Name].status.Applied, BurdenUs: t.burden(now, m.Name),
-				RunUs: t.avgRun(q.class.Name, m.Name), RateUs: t.members[m.Name].rateUs})
+				RunUs: t.avgRun(q.class.Name, m.Name), RateUs: t.members[m.Name].rateUs, LagUs: t.members[m.Name].lagUs})
 		}
 		ch, ok := t.choose(q.class.formula(q.class.MarginUs), floor, now, cs)
 		switch {
@@ -135,7 +135,7 @@
 		}
 	case "least-burden":
 		for i := range cs {
-			cs[i].RunUs, cs[i].RateUs = 0, 0
+			cs[i].RunUs, cs[i].RateUs, cs[i].LagUs = 0, 0, 0
 		}
 	}
 	return freshness.Choose(&t.fresh, f, floor, now, cs, t.rnd.IntN)
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -320,6 +320,7 @@
 	rateUs    int64
 	rateAt    int64
 	rateFrom  int64
+	lagUs     int64
 	openAgain int64 // no new connection before
 }
 
