--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -10,6 +10,7 @@
 	"stoneford/pool"
 	"stoneford/querytable"
 	"stoneford/result"
+	"stoneford/schema"
 )
 
 // KillControl ends a control process; StartControl starts it on its disk, or
@@ -133,6 +134,32 @@
 	return append(as, slices.Sorted(maps.Keys(f.byAddr))...)
 }
 
+// Deaf has a group's replicas receive nothing, or again.
+func (f *Fleet) Deaf(group string, deaf bool) {
+	for _, n := range f.Cf.Groups[group].Members {
+		if !f.DBs[n].c.Primary {
+			f.DBs[n].noTake = deaf
+		}
+	}
+}
+
+// Leave has the primary of a group announce that it leaves.
+func (f *Fleet) Leave(group string) {
+	if p := f.Primary(group); p != nil {
+		p.c.Leaving = true
+	}
+}
+
+// LosePermits has no permit reach any node from now on: a plant.
+func (f *Fleet) LosePermits() {
+	take := f.Net.Take
+	f.Net.Take = func(to string, e *schema.Envelope) {
+		if e.GetPermitGive() == nil {
+			take(to, e)
+		}
+	}
+}
+
 // ZoneGone ends everything that stands in a zone.
 func (f *Fleet) ZoneGone(zone string) {
 	for i, c := range f.Controls {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -46,6 +46,7 @@
 	SkippedEntry            // polls of the primary leave its newest commits out
 	UnsealedTakeover        // a seal is answered without sealing
 	TornSession             // a connection is said to be reset and is not
+	UnheardLeaving          // tables are not told that a database leaves
 )
 
 type controlProc struct {
@@ -558,6 +559,9 @@
 			case f.Plan.Plant == SkippedEntry && s.Role == "primary":
 				p.Status.Received = max(0, s.Received-3)
 			}
+			if f.Plan.Plant == UnheardLeaving {
+				p.Status.Leaving = false
+			}
 			if s.Leaving && n.leftAt[e.Address] == 0 {
 				n.leftAt[e.Address] = f.Now
 			} else if !s.Leaving {
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -80,8 +80,8 @@
 
 // TestPlantedFaultsAreSeen: the same checks fail over the same faults once a
 // write is acknowledged before a majority holds it, polls leave the newest
-// commits out, a connection keeps another session's values, or a takeover
-// seals nobody. Without the plant the same seeds show nothing.
+// commits out, a connection keeps another session's values, a leaving database
+// is not heard, or a takeover seals nobody. Without the plant the same seeds show nothing.
 func TestPlantedFaultsAreSeen(t *testing.T) {
 	random := func(f *simulation.Fleet) { f.RandomFaults(f.Now+12_000_000, 700_000) }
 	for _, c := range []struct {
@@ -93,10 +93,11 @@
 		lengthUs int64
 		faults   func(*simulation.Fleet)
 	}{
-		{simulation.AckBeforeMajority, "ack before majority", 32, 5_000, 16, 12_000_000, random},
+		{simulation.AckBeforeMajority, "ack before majority", 8, 5_000, 16, 6_000_000, deafReplicas},
 		{simulation.SkippedEntry, "skipped entry", 8, 300_000, 16, 12_000_000, random},
 		{simulation.TornSession, "torn session", 8, 5_000, 16, 12_000_000, random},
-		{simulation.UnsealedTakeover, "unsealed takeover", 8, 5_000, 200, 4_000_000, halfSeen},
+		{simulation.UnheardLeaving, "unheard leaving", 4, 5_000, 16, 14_000_000, func(f *simulation.Fleet) { f.Leave(f.Plan.Groups[0]) }},
+		{simulation.UnsealedTakeover, "unsealed takeover", 16, 5_000, 200, 4_000_000, halfSeen},
 	} {
 		for _, plant := range []simulation.Plant{simulation.NoPlant, c.plant} {
 			var mu sync.Mutex
@@ -133,6 +134,19 @@
 	}
 }
 
+// deafReplicas: the replicas stop receiving just before the primary is lost for
+// good.
+func deafReplicas(f *simulation.Fleet) {
+	g := f.Plan.Groups[0]
+	f.After(1_000_000, func() { f.Deaf(g, true) })
+	f.After(1_600_000, func() {
+		if p := f.Primary(g); p != nil {
+			f.LoseDB(p.Name())
+		}
+		f.Deaf(g, false)
+	})
+}
+
 // halfSeen: the primary is cut off from the control processes and all pool
 // nodes but one, which goes on writing to it and hears no news; the platform
 // is slow.
@@ -165,3 +179,66 @@
 		t.Errorf("%d and %d queries, %d and %d writes", len(a.Truth.Samples), len(b.Truth.Samples), va.Acked, vb.Acked)
 	}
 }
+
+// TestServesAfterAReturn: a zone is lost for ten seconds under three times the
+// load, or every pool node at once, and comes back; of what callers send from
+// 12 s after the return on, at least a quarter is served. With permits lost on
+// the way, which is planted, nothing is.
+func TestServesAfterAReturn(t *testing.T) {
+	least := 1.0
+	for _, c := range []struct {
+		name    string
+		all     bool
+		planted bool
+	}{{"a zone", false, false}, {"all nodes", true, false}, {"all nodes, no permits", true, true}} {
+		var mu sync.Mutex
+		each(6, 0, func(seed uint64) {
+			p := plan(seed)
+			p.Machines, p.Sessions, p.ThinkUs = 6, 60, 150_000
+			f := simulation.NewFleet(p)
+			f.Quiet = true
+			f.PutSettings(nil)
+			f.Run(3_000_000)
+			f.Callers()
+			f.Run(f.Now + 3_000_000)
+			if c.all {
+				for i := range p.Machines {
+					f.KillNode(i)
+				}
+			} else {
+				f.ZoneGone("cluj")
+			}
+			f.Run(f.Now + 10_000_000)
+			if c.planted {
+				f.LosePermits()
+			}
+			f.Heal()
+			f.Run(f.Now + 12_000_000)
+			at := f.Now
+			f.Run(at + 4_000_000)
+			end := f.Now
+			v := f.Finish()
+			var ss []simulation.Sample
+			for _, s := range f.Truth.Samples {
+				if s.AtUs >= at && s.AtUs < end {
+					ss = append(ss, s)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			share := simulation.Served(ss)
+			if !c.planted {
+				least = min(least, share)
+			}
+			if ok := share >= 0.25 && len(ss) > 50; ok == c.planted {
+				t.Errorf("%s, seed %d: %.3f of %d queries are served from 12 s after the return on", c.name, seed, share, len(ss))
+			}
+			for _, b := range v.Violations {
+				if !c.planted {
+					t.Errorf("%s, seed %d: %s", c.name, seed, b)
+				}
+			}
+		})
+	}
+	t.Logf("least share served from 12 s after a return on: %.4f", least)
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -28,22 +28,78 @@
 	"stoneford/standin/platform"
 )
 
-// Shape is a deployment's sizes.
-type Shape struct {
+// Part is what one partner brings.
+type Part struct {
 	Partner     string
-	Zones       []string
-	Machines    int
 	Groups      []string
+	Zones       []string // its names for the three zones
 	Connections int
-	Sessions    int
-	Rate        float64
 }
 
-// Shapes are the users' two, and a smaller one.
+// Shape is a deployment's sizes.
+type Shape struct {
+	Parts    []Part
+	Machines int
+	Sessions int
+	Rate     float64
+}
+
+var (
+	pharmacies = Part{Partner: "pharmacies", Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 65}
+	lender     = Part{Partner: "lender", Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 80}
+)
+
+// Shapes are the users' two, both on one pool, and a smaller one.
 var Shapes = map[string]Shape{
-	"pharmacies": {Partner: "pharmacies", Zones: []string{"cluj", "iasi", "brasov"}, Machines: 11, Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Connections: 65, Sessions: 290, Rate: 450},
-	"lender":     {Partner: "lender", Zones: []string{"north", "middle", "south"}, Machines: 10, Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Connections: 80, Sessions: 290, Rate: 450},
-	"small":      {Partner: "pharmacies", Zones: []string{"cluj", "iasi", "brasov"}, Machines: 4, Groups: []string{"inventory-1"}, Connections: 40, Sessions: 40, Rate: 80},
+	"pharmacies": {Parts: []Part{pharmacies}, Machines: 11, Sessions: 290, Rate: 450},
+	"lender":     {Parts: []Part{lender}, Machines: 10, Sessions: 290, Rate: 450},
+	"both":       {Parts: []Part{pharmacies, lender}, Machines: 21, Sessions: 580, Rate: 900},
+	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40}}, Machines: 4, Sessions: 40, Rate: 80},
+}
+
+// groups names every group, as PARTNER/GROUP.
+func (s Shape) groups() []string {
+	var gs []string
+	for _, p := range s.Parts {
+		for _, g := range p.Groups {
+			gs = append(gs, p.Partner+"/"+g)
+		}
+	}
+	return gs
+}
+
+// owner is whom a machine belongs to: the partners bring them in turn.
+func (s Shape) owner(machine int) string { return s.Parts[machine%len(s.Parts)].Partner }
+
+// partner is whom a group belongs to; groups of different partners have
+// different names here.
+func (s Shape) partner(group string) string {
+	for _, p := range s.Parts {
+		if slices.Contains(p.Groups, group) {
+			return p.Partner
+		}
+	}
+	return ""
+}
+
+func (s Shape) connections(group string) int {
+	for _, p := range s.Parts {
+		if strings.HasPrefix(group, p.Partner+"/") {
+			return p.Connections
+		}
+	}
+	return 0
+}
+
+// Route is the route that leads to the group of a database, "" for other
+// processes.
+func (s Shape) Route(process string) string {
+	for _, g := range s.groups() {
+		if _, n, _ := strings.Cut(g, "/"); strings.HasPrefix(process, n+"-") {
+			return g
+		}
+	}
+	return ""
 }
 
 // proc is one process of the fleet.
@@ -79,8 +135,8 @@
 	clean    cleanup.Stack
 }
 
-// Token is what the fleet's operators send.
-const Token = "operators-token"
+// Token is what a partner's operators send.
+func Token(partner string) string { return partner + "-token" }
 
 // Programs a fleet is made of.
 var programs = []string{"./cmd/stoneford-pool", "./cmd/stoneford-control", "./standin/standin-database"}
@@ -120,7 +176,7 @@
 	f := &Fleet{Shape: s, bin: bin, folder: folder, procs: map[string]*proc{}, addr: map[string]string{}}
 	// Every process listens on a port of its own behind a link that others
 	// reach it through; some ports are kept for machines that join later.
-	ps, err := ports(1 + 2*(2*3+2*(s.Machines+spare)+3*len(s.Groups)))
+	ps, err := ports(1 + 2*(2*3+2*(s.Machines+spare)+3*len(s.groups())))
 	if err != nil {
 		return nil, err
 	}
@@ -131,14 +187,19 @@
 		f.seeds = append(f.seeds, take())
 	}
 	seeds := f.seeds
-	for _, g := range s.Groups {
+	tokens := map[string]string{}
+	for _, pt := range s.Parts {
+		tokens[pt.Partner] = Token(pt.Partner)
+	}
+	for _, k := range s.groups() {
 		for i := range 3 {
+			_, g, _ := strings.Cut(k, "/")
 			n := fmt.Sprintf("%s-%c", g, 'a'+i)
 			f.addr[n] = take()
 			d, at := filepath.Join(folder, n), take()
 			p := &proc{name: n, kind: "standin-database", folder: d, http: at}
 			f.link(p, f.addr[n], at)
-			p.args = []string{"--name", n, "--listen", at, "--folder", d, "--connections", fmt.Sprint(s.Connections)}
+			p.args = []string{"--name", n, "--listen", at, "--folder", d, "--connections", fmt.Sprint(s.connections(k))}
 			f.add(p)
 		}
 	}
@@ -147,8 +208,8 @@
 		h := take()
 		f.ops = append(f.ops, h)
 		d := filepath.Join(folder, n)
-		if err := f.boot(n, "stoneford-control", map[string]any{"name": n, "zone": s.Zones[i%3], "partner": s.Partner, "listen": seeds[i], "http": h,
-			"seeds": seeds, "data_folder": d, "platform": f.plat, "tokens": map[string]string{s.Partner: Token}}); err != nil {
+		if err := f.boot(n, "stoneford-control", map[string]any{"name": n, "zone": s.Parts[0].Zones[i%3], "partner": s.owner(i), "listen": seeds[i], "http": h,
+			"seeds": seeds, "data_folder": d, "platform": f.plat, "tokens": tokens}); err != nil {
 			return nil, err
 		}
 	}
@@ -175,7 +236,7 @@
 	i := len(f.nodes)
 	n, h := fmt.Sprintf("pool-%d", i+1), f.take()
 	f.nodes = append(f.nodes, h)
-	return n, f.boot(n, "stoneford-pool", map[string]any{"name": n, "zone": f.Shape.Zones[i%3], "partner": f.Shape.Partner,
+	return n, f.boot(n, "stoneford-pool", map[string]any{"name": n, "zone": f.Shape.Parts[0].Zones[i%3], "partner": f.Shape.owner(i),
 		"listen": f.take(), "http": h, "seeds": f.seeds})
 }
 
@@ -252,15 +313,15 @@
 	return nil
 }
 
-// Settings is the shape's configuration.
-func (f *Fleet) Settings() map[string]any {
+// Settings is one partner's configuration.
+func (f *Fleet) Settings(pt Part) map[string]any {
 	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
-	for i, g := range f.Shape.Groups {
+	for i, g := range pt.Groups {
 		var ms []string
 		for j := range 3 {
 			n := fmt.Sprintf("%s-%c", g, 'a'+j)
 			ms = append(ms, n)
-			dbs[n] = map[string]any{"address": f.addr[n], "zone": f.Shape.Zones[(i+j)%3], "connections": f.Shape.Connections}
+			dbs[n] = map[string]any{"address": f.addr[n], "zone": pt.Zones[(i+j)%3], "connections": pt.Connections}
 		}
 		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
 		rs[g] = map[string]any{"group": g, "classes": []string{"reserve", "lookup", "pickup"}}
@@ -273,13 +334,7 @@
 }
 
 // Routes are the shape's routes.
-func (f *Fleet) Routes() []string {
-	var rs []string
-	for _, g := range f.Shape.Groups {
-		rs = append(rs, f.Shape.Partner+"/"+g)
-	}
-	return rs
-}
+func (f *Fleet) Routes() []string { return f.Shape.groups() }
 
 func (f *Fleet) start(p *proc) error {
 	p.mu.Lock()
@@ -355,22 +410,23 @@
 			return err
 		}
 	}
-	b, err := json.Marshal(f.Settings())
-	if err != nil {
-		return err
-	}
-	err = Until(ctx, 30*time.Second, func() error {
-		r, err := f.Operators().Change(ctx, 0, b, false, false)
+	for _, pt := range f.Shape.Parts {
+		b, err := json.Marshal(f.Settings(pt))
 		if err != nil {
 			return err
 		}
-		if r.Revision != 1 {
-			return fmt.Errorf("the configuration was not taken: %d %s %v", r.Code, r.Text, r.Problems)
+		if err := Until(ctx, 30*time.Second, func() error {
+			r, err := f.Operators(pt.Partner).Change(ctx, 0, b, false, false)
+			if err != nil {
+				return err
+			}
+			if r.Revision != 1 {
+				return fmt.Errorf("the configuration was not taken: %d %s %v", r.Code, r.Text, r.Problems)
+			}
+			return nil
+		}); err != nil {
+			return err
 		}
-		return nil
-	})
-	if err != nil {
-		return err
 	}
 	return Until(ctx, 30*time.Second, func() error {
 		if n := len(f.Nodes()); n < f.Shape.Machines {
@@ -398,9 +454,9 @@
 	}
 }
 
-// Operators is the operators' side of the fleet.
-func (f *Fleet) Operators() operators.Client {
-	return operators.Client{Addresses: f.ops, Token: Token}
+// Operators is a partner's operators' side of the fleet.
+func (f *Fleet) Operators(partner string) operators.Client {
+	return operators.Client{Addresses: f.ops, Token: Token(partner)}
 }
 
 // Nodes are the ready pool nodes, as the platform hands them out.
@@ -437,11 +493,11 @@
 
 // Primary is a group's primary now.
 func (f *Fleet) Primary(ctx context.Context, group string) string {
-	s, err := f.Operators().Status(ctx)
+	s, err := f.Operators(f.Shape.Parts[0].Partner).Status(ctx)
 	if err != nil {
 		return ""
 	}
-	i := slices.IndexFunc(s.Groups, func(g control.GroupStatus) bool { return g.Name == f.Shape.Partner+"/"+group })
+	i := slices.IndexFunc(s.Groups, func(g control.GroupStatus) bool { return g.Name == f.Shape.partner(group)+"/"+group })
 	if i < 0 {
 		return ""
 	}
@@ -452,7 +508,8 @@
 // furthest log in the latest epoch.
 func (f *Fleet) Logs(ctx context.Context) (map[string][]databasecopy.LogEntry, error) {
 	out := map[string][]databasecopy.LogEntry{}
-	for _, g := range f.Shape.Groups {
+	for _, k := range f.Shape.groups() {
+		_, g, _ := strings.Cut(k, "/")
 		err := Until(ctx, 20*time.Second, func() error {
 			p := f.Primary(ctx, g)
 			if p == "" {
@@ -468,11 +525,11 @@
 				return err
 			}
 			var es []databasecopy.LogEntry
-			out[f.Shape.Partner+"/"+g] = es
+			out[k] = es
 			if err := json.Unmarshal(b, &es); err != nil {
 				return err
 			}
-			out[f.Shape.Partner+"/"+g] = es
+			out[k] = es
 			return nil
 		})
 		if err != nil {
@@ -494,6 +551,10 @@
 
 // Describe prints how the fleet can be reached.
 func (f *Fleet) Describe(w io.Writer) {
-	fmt.Fprintf(w, "control (operators): %s\ntoken: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
-		strings.Join(f.ops, " "), Token, strings.Join(f.Nodes(), " "), strings.Join(f.Routes(), " "), f.folder)
+	var ts []string
+	for _, p := range f.Shape.Parts {
+		ts = append(ts, Token(p.Partner))
+	}
+	fmt.Fprintf(w, "control (operators): %s\ntokens: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
+		strings.Join(f.ops, " "), strings.Join(ts, " "), strings.Join(f.Nodes(), " "), strings.Join(f.Routes(), " "), f.folder)
 }
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -71,7 +71,7 @@
 		return hit
 	}
 	acked(0)
-	old := do("kill", "primary@"+f.Shape.Groups[0])
+	old := do("kill", "primary@"+f.Shape.Parts[0].Groups[0])
 	acked(time.Now().UnixMicro())
 	do("start", old)
 	do("wipe", "control-2")
@@ -100,7 +100,7 @@
 	if v.Acked < 10 || done < 50 {
 		t.Errorf("only %d writes were acknowledged and %d queries done: the run shows little", v.Acked, done)
 	}
-	s, err := f.Operators().Settings(ctx, false)
+	s, err := f.Operators("pharmacies").Settings(ctx, false)
 	if err != nil || s.Code != result.OK || s.Revision != 1 {
 		t.Errorf("the configuration reads back as %d revision %d (%v)", s.Code, s.Revision, err)
 	}
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -196,11 +196,9 @@
 	}
 	rep.Check = r.Checker.Check(logs)
 	for i := range rep.Faults {
-		for _, g := range sh.Groups {
-			if strings.HasPrefix(rep.Faults[i].Hit, g+"-") {
-				if a := r.FirstAckAfter(sh.Partner+"/"+g, ats[i]); a > 0 {
-					rep.Faults[i].FirstAckS = float64((a-ats[i])/1000) / 1000
-				}
+		if rt := sh.Route(rep.Faults[i].Hit); rt != "" {
+			if a := r.FirstAckAfter(rt, ats[i]); a > 0 {
+				rep.Faults[i].FirstAckS = float64((a-ats[i])/1000) / 1000
 			}
 		}
 	}
