--- a/control/operators.go
+++ b/control/operators.go
@@ -36,6 +36,7 @@
 	m.HandleFunc("GET /v1/status", p.status)
 	m.HandleFunc("GET /v1/ready", p.ready)
 	m.HandleFunc("POST /v1/say", p.say)
+	m.Handle("GET /metrics", p.metrics())
 	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		give(w, Reply{Code: result.UnknownPath, Detail: r.Method + " " + r.URL.Path})
 	})
--- a/pool/callers.go
+++ b/pool/callers.go
@@ -40,6 +40,7 @@
 	m.HandleFunc("POST /v1/sessions/{id}/queries", p.querySession)
 	m.HandleFunc("GET /v1/ready", p.ready)
 	m.HandleFunc("GET /v1/counts", p.counts)
+	m.Handle("GET /metrics", p.metrics())
 	return m
 }
 
