--- a/control/metrics.go
+++ b/control/metrics.go
@@ -30,8 +30,9 @@
 	dEnv      = desc("envelopes_total", "envelopes to and from other processes", "way")
 )
 
-// Describe implements prometheus.Collector.
-func (m metrics) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(m, ch) }
+// Describe names nothing beforehand: what there is to tell depends on the
+// configuration, and nothing can be collected before the process runs.
+func (m metrics) Describe(chan<- *prometheus.Desc) {}
 
 // Collect implements prometheus.Collector.
 func (m metrics) Collect(ch chan<- prometheus.Metric) {
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -30,8 +30,9 @@
 	dNodes    = desc("nodes", "processes this node knows of", "standing")
 )
 
-// Describe implements prometheus.Collector.
-func (m metrics) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(m, ch) }
+// Describe names nothing beforehand: what there is to tell depends on the
+// configuration, and nothing can be collected before the process runs.
+func (m metrics) Describe(chan<- *prometheus.Desc) {}
 
 // Collect implements prometheus.Collector.
 func (m metrics) Collect(ch chan<- prometheus.Metric) {
--- a/standin/fleet/callers_test.go
+++ b/standin/fleet/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -122,7 +123,24 @@
 			t.Errorf("the session's end: %v %v", rs, err)
 		}
 	}
+	if m := get(t, "http://"+node+"/metrics"); !strings.Contains(m, `stoneford_pool_queries_total{end="done",group="pharmacies/inventory-1"}`) {
+		t.Errorf("the node's metrics are %s", m)
+	}
 	if v := post(q, `{"class":"reserve",`+write+`}`); v.Code != result.UnknownSession {
 		t.Errorf("a query of an ended session: %+v", v)
 	}
 }
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	r, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
