A settling query's long poll is its evidence; no quick poll beside it

A write that waited for a replica's position had a long poll for the position and, begun in the same step, a quick one for the moment; either would do. Also: what the choice of a copy and own entries are worth, measured.

--- a/cmd/stoneford-simulate/main.go
+++ b/cmd/stoneford-simulate/main.go
@@ -140,6 +140,7 @@
 	for _, n := range []string{checker.Lookup, checker.Pinned} {
 		row(n+", greatest age ms", func(f whatif.Figures) float64 { return float64(f.Ages[n].MaxUs) / 1000 })
 	}
+	row("status polls a query", func(f whatif.Figures) float64 { return f.Polls })
 	row("uncertain writes", func(f whatif.Figures) float64 { return float64(f.Uncertain) })
 	row("promises broken", func(f whatif.Figures) float64 { return float64(f.Broken) })
 	copies := map[string]bool{}
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -154,10 +154,6 @@
 	for _, w := range t.w.Members {
 		m := t.members[w.Name]
 		hold := m.failing > 0 && now < m.next // no hot loop against what is down
-		if m.quick == 0 && (now >= m.next || since[w.Name] > m.start && !hold && !(rec[w.Name] > 0 && m.long != 0 && t.polls[m.long].start >= since[w.Name])) {
-			m.quick = t.poll(now, w, poll{member: w.Name, start: now}, 0)
-			m.next = now + pollEvery
-		}
 		if m.long == 0 && !hold && (rec[w.Name] > 0 || app[w.Name] > 0) {
 			p := poll{member: w.Name, start: now, long: true, rec: rec[w.Name], app: app[w.Name]}
 			if p.rec > 0 {
@@ -165,6 +161,13 @@
 			}
 			m.long = t.poll(now, w, p, pollWait)
 		}
+		// A long poll that waits for a settling query's position, begun late
+		// enough, is all the evidence that query needs of this member.
+		covered := rec[w.Name] > 0 && m.long != 0 && t.polls[m.long].start >= since[w.Name]
+		if m.quick == 0 && (now >= m.next || since[w.Name] > m.start && !hold && !covered) {
+			m.quick = t.poll(now, w, poll{member: w.Name, start: now}, 0)
+			m.next = now + pollEvery
+		}
 	}
 }
 
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -406,13 +406,15 @@
 			s := t.sessions[q.Session]
 			s.token = Token{Group: t.w.Group, Epoch: q.epoch, Position: max(s.token.Position, q.commit.pos)}
 			class := []freshness.Atom{""}
-			if !t.w.Position && len(q.commit.relations) > 0 {
+			if len(q.commit.relations) > 0 {
 				class = nil
 				for _, r := range q.commit.relations {
 					class = append(class, freshness.Atom(r))
 				}
 			}
-			t.fresh.Committed(q.sent, q.commit.pos, q.commit.tuples, class)
+			if !t.w.Position {
+				t.fresh.Committed(q.sent, q.commit.pos, q.commit.tuples, class)
+			}
 		}
 		if q.class.Kind != "current" && !t.stillFresh(q, 0, q.held, now) {
 			t.again(now, q, false)
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -58,7 +58,7 @@
 	Classes  map[string]Class
 	Line     int
 	Choice   string // least-sum; random and least-burden only for comparison
-	Position bool   // entries carry positions only, for comparison
+	Position bool   // own commits stay gaps, for comparison
 }
 
 func (w Wanted) member(n string) (Member, bool) {
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -450,3 +450,15 @@
 
 // Name is the database's own.
 func (d *DB) Name() string { return d.name }
+
+// Counts sums the counters of all living nodes' tables.
+func (f *Fleet) Counts() querytable.Counts {
+	var s querytable.Counts
+	for _, n := range f.Nodes {
+		for _, t := range n.tables {
+			c := t.Counts()
+			s.Queries, s.Polls, s.Runs, s.Opens = s.Queries+c.Queries, s.Polls+c.Polls, s.Runs+c.Runs, s.Opens+c.Opens
+		}
+	}
+	return s
+}
--- a/whatif/whatif.go
+++ b/whatif/whatif.go
@@ -54,17 +54,20 @@
 replication lags 2 s   or: 300 ms
 load x4                so many times the queries
 machines N             so many pool nodes
-slow NAME 50 ms        each run of a database takes so much longer`
+slow NAME 50 ms        each run of a database takes so much longer
+choice random          reads go to any copy, or: choice least-burden, in place of the least sum
+positions only         nodes know even their own commits as positions only`
 
 var (
-	reLag   = regexp.MustCompile(`^replication lags (\d+) ?(s|ms)$`)
-	reLoad  = regexp.MustCompile(`^load x(\d+(?:\.\d+)?)$`)
-	reConn  = regexp.MustCompile(`^connections (\d+)$`)
-	reMach  = regexp.MustCompile(`^machines (\d+)$`)
-	reZone  = regexp.MustCompile(`^(?:zone )?(\S+) gone$`)
-	reSlow  = regexp.MustCompile(`^slow (.+) (\d+) ?(s|ms)$`)
-	reOut   = regexp.MustCompile(`^(.+?)(?: is)? out$`)
-	errName = errs.Class("what if")
+	reLag    = regexp.MustCompile(`^replication lags (\d+) ?(s|ms)$`)
+	reLoad   = regexp.MustCompile(`^load x(\d+(?:\.\d+)?)$`)
+	reConn   = regexp.MustCompile(`^connections (\d+)$`)
+	reMach   = regexp.MustCompile(`^machines (\d+)$`)
+	reZone   = regexp.MustCompile(`^(?:zone )?(\S+) gone$`)
+	reSlow   = regexp.MustCompile(`^slow (.+) (\d+) ?(s|ms)$`)
+	reChoice = regexp.MustCompile(`^choice (random|least-burden)$`)
+	reOut    = regexp.MustCompile(`^(.+?)(?: is)? out$`)
+	errName  = errs.Class("what if")
 )
 
 func us(n, unit string) int64 {
@@ -124,6 +127,10 @@
 			}
 			return err
 		}
+	} else if m := reChoice.FindStringSubmatch(t); m != nil {
+		c.setup = func(k *Case) error { k.Plan.Choice = m[1]; return nil }
+	} else if t == "positions only" {
+		c.setup = func(k *Case) error { k.Plan.Position = true; return nil }
 	} else if m := reZone.FindStringSubmatch(t); m != nil {
 		c.event = func(f *simulation.Fleet, k *Case) error {
 			if !slices.Contains(k.Plan.Zones, m[1]) {
@@ -169,6 +176,7 @@
 	Kinds     map[string]Kind         `json:"kinds"`
 	Copies    map[string]float64      `json:"reads_by_copy_share"`
 	Ages      map[string]checker.Ages `json:"ages"`
+	Polls     float64                 `json:"status_polls_per_query"`
 	Uncertain int                     `json:"uncertain_writes"`
 	Broken    int                     `json:"promises_broken"`
 }
@@ -206,13 +214,15 @@
 		}
 	}
 	at := f.Now
+	before := f.Counts()
 	f.Run(at + k.ForUs)
-	end := f.Now
+	end, after := f.Now, f.Counts()
 	v := f.Finish()
 	ss := lo.Filter(f.Truth.Samples, func(s simulation.Sample, _ int) bool { return s.AtUs >= at && s.AtUs < end })
 	ts := simulation.Took(ss)
 	g := Figures{Queries: len(ss), Served: simulation.Served(ss), P50Us: checker.Quantile(ts, 0.5), P99Us: checker.Quantile(ts, 0.99), Kinds: map[string]Kind{},
 		Copies: map[string]float64{}, Ages: v.Ages, Uncertain: v.Unsure, Broken: len(v.Violations)}
+	g.Polls = float64(after.Polls-before.Polls) / float64(max(1, after.Queries-before.Queries))
 	g.FirstTry = simulation.Served(lo.Map(ss, func(s simulation.Sample, _ int) simulation.Sample {
 		if s.Tries > 1 {
 			s.Outcome = ""
