--- a/cmd/stoneford/main.go
+++ b/cmd/stoneford/main.go
@@ -14,12 +14,14 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"stoneford/control"
 	"stoneford/language"
 	"stoneford/operators"
+	"stoneford/replay"
 	"stoneford/result"
 )
 
@@ -42,6 +44,11 @@
 			{Name: "status", Usage: "nodes, groups and who holds which duty", Action: status},
 			{Name: "say", Usage: "type a question or a command, such as: what is booked tomorrow", ArgsUsage: "WORDS...",
 				Description: language.Help, Action: say},
+			{Name: "replay", Usage: "send what a HAR file recorded of callers to a pool node again", ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "node", Usage: "callers' address of the node", Required: true},
+					&cli.FloatFlag{Name: "speed", Usage: "1 as recorded, 2 twice as fast, 0 without any pause"},
+				}, Action: replayFile},
 			{Name: "settings", Usage: "read or change the partner's configuration", Commands: []*cli.Command{
 				{Name: "get", Usage: "print the configuration and its revision, read through a majority",
 					Flags:  []cli.Flag{&cli.BoolFlag{Name: "applied", Usage: "and which revision each process works by"}},
@@ -200,6 +207,25 @@
 	return nil
 }
 
+func replayFile(ctx context.Context, c *cli.Command) error {
+	es, err := replay.Read(c.Args().First())
+	if err != nil {
+		return err
+	}
+	os := replay.Send(ctx, clockwork.NewRealClock(), c.String("node"), es, c.Float("speed"))
+	if c.Bool("json") {
+		return printJSON(os)
+	}
+	done := lo.CountBy(os, func(o replay.Outcome) bool { return o.Outcome == result.Done })
+	for _, o := range os {
+		if o.Outcome != result.Done {
+			fmt.Printf("entry %d: recorded %d, now %d, code %d %s %s\n", o.Entry, o.Was, o.Status, o.Code, o.Outcome, o.Error)
+		}
+	}
+	fmt.Printf("%d of %d entries done\n", done, len(es))
+	return nil
+}
+
 func status(ctx context.Context, c *cli.Command) error {
 	s, err := client(c).Status(ctx)
 	if err != nil {
