--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -28,6 +28,7 @@
 	thirdGrace    = 300_000 // a third copy that answers is waited for so long
 	platformEvery = 400_000
 	sayEvery      = 5_000_000
+	switchEvery   = 3_000_000
 )
 
 // Status is what a database says of itself.
@@ -106,19 +107,20 @@
 
 // Group decides for one group.
 type Group struct {
-	m         map[string]*member
-	asks      map[uint64]ask
-	next      uint64
-	sealed    map[string]Status
-	sealFor   uint64
-	sealAt    int64 // when a majority was first sealed
-	nextSeal  int64
-	nextPlat  int64
-	nextSay   int64
-	putting   int64
-	acted     bool
-	sealBegan int64
-	fx        []any
+	m          map[string]*member
+	asks       map[uint64]ask
+	next       uint64
+	sealed     map[string]Status
+	sealFor    uint64
+	sealAt     int64 // when a majority was first sealed
+	nextSeal   int64
+	nextPlat   int64
+	nextSay    int64
+	nextSwitch int64
+	putting    int64
+	acted      bool
+	sealBegan  int64
+	fx         []any
 }
 
 // New makes a group's decider.
@@ -265,7 +267,12 @@
 		g.put(now, in.Rev, n)
 		return
 	}
-	if right && in.Avoid == st.Primary && led {
+	if right && led && now >= g.nextSwitch && (in.Avoid == st.Primary || p.status.Leaving && g.Well(now, st) == "") {
+		// A primary that announces that it leaves is switched away from, as a
+		// booked one is. One that is still the furthest stays, and is tried
+		// again when its followers have come up to it.
+		g.nextSwitch = now + switchEvery
+		in.Avoid = st.Primary
 		g.open(now, in, plannedSwitch)
 		return
 	}
