--- a/bootfile/bootfile.go
+++ b/bootfile/bootfile.go
@@ -1,4 +1,4 @@
-// Package bootfile reads a process's boot settings from a file and flags, and
+// Package bootfile reads a process's boot from a file and flags, and
 // notices a changed file without a signal (design 10.2).
 package bootfile
 
@@ -81,7 +81,7 @@
 	return nodes, http, nil
 }
 
-// Check reads boot settings from JSON text.
+// Check reads a boot from JSON text.
 func Check(b []byte) (*schema.Boot, error) {
 	s := &schema.Boot{}
 	var g errs.Group
--- a/cmd/stoneford-simulate/main.go
+++ b/cmd/stoneford-simulate/main.go
@@ -1,4 +1,4 @@
-// Command stoneford-simulate answers what-if questions about a deployment.
+// Command stoneford-simulate works out what-if questions about a deployment.
 package main
 
 import (
@@ -24,7 +24,7 @@
 		Name: "stoneford-simulate", Usage: "what would callers see if …",
 		ArgsUsage: "[WHAT-IF...]",
 		Description: "Runs the daemons' own cores on a fake clock, with and without what is asked about, and compares.\n\n" + whatif.Help +
-			"\n\nExample: stoneford-simulate --example pharmacies \"the Cluj replica of inventory-2 out\" \"load x2\"",
+			"\n\nExample: stoneford-simulate --example pharmacies \"the Cluj replica of inventory-2 out\" \"burden x2\"",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "example", Value: "pharmacies", Usage: strings.Join(slices.Sorted(maps.Keys(whatif.Examples)), ", ")},
 			&cli.StringFlag{Name: "configuration", Usage: "a configuration `FILE` as operators send it, in place of the example's"},
@@ -64,7 +64,7 @@
 			}
 			return fmt.Errorf("%s has errors", p)
 		}
-		k.Plan.Settings = b
+		k.Plan.Configuration = b
 		k.Plan.Zones = nil
 		for _, n := range slices.Sorted(maps.Keys(cf.Databases)) {
 			if z := cf.Databases[n].Zone; !slices.Contains(k.Plan.Zones, z) {
@@ -98,7 +98,7 @@
 	if len(seeds) == 0 {
 		return fmt.Errorf("at least one seed is needed")
 	}
-	as := []whatif.Answer{}
+	as := []whatif.Return{}
 	a, err := whatif.Ask(k, nil, seeds)
 	if err != nil {
 		return err
@@ -118,7 +118,7 @@
 	return table(k, as)
 }
 
-func table(k whatif.Case, as []whatif.Answer) error {
+func table(k whatif.Case, as []whatif.Return) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	head := []string{"", "as it is"}
 	if len(as) > 1 {
@@ -126,7 +126,7 @@
 	}
 	fmt.Fprintln(w, strings.Join(head, "\t"))
 	row := func(name string, f func(whatif.Figures) float64) {
-		fmt.Fprintln(w, strings.Join(append([]string{name}, lo.Map(as, func(a whatif.Answer, _ int) string { return a.Of(f).String() })...), "\t"))
+		fmt.Fprintln(w, strings.Join(append([]string{name}, lo.Map(as, func(a whatif.Return, _ int) string { return a.Of(f).String() })...), "\t"))
 	}
 	row("queries", func(f whatif.Figures) float64 { return float64(f.Queries) })
 	row("served, share", func(f whatif.Figures) float64 { return f.Served })
--- a/cmd/stoneford/main.go
+++ b/cmd/stoneford/main.go
@@ -49,7 +49,7 @@
 					&cli.StringFlag{Name: "node", Usage: "callers' address of the node", Required: true},
 					&cli.FloatFlag{Name: "speed", Usage: "1 as recorded, 2 twice as fast, 0 without any pause"},
 				}, Action: replayFile},
-			{Name: "settings", Usage: "read or change the partner's configuration", Commands: []*cli.Command{
+			{Name: "configuration", Usage: "read or change the partner's configuration", Commands: []*cli.Command{
 				{Name: "get", Usage: "print the configuration and its revision, read through a majority",
 					Flags:  []cli.Flag{&cli.BoolFlag{Name: "applied", Usage: "and which revision each process works by"}},
 					Action: get},
@@ -94,7 +94,7 @@
 }
 
 func get(ctx context.Context, c *cli.Command) error {
-	r, err := client(c).Settings(ctx, c.Bool("applied"))
+	r, err := client(c).Configuration(ctx, c.Bool("applied"))
 	if err != nil {
 		return err
 	}
@@ -113,8 +113,8 @@
 		if r.Code == result.OK {
 			fmt.Printf("%s, revision %d\n", r.Partner, r.Revision)
 		}
-		if whole && len(r.Settings) > 0 {
-			if err := printJSON(r.Settings); err != nil {
+		if whole && len(r.Configuration) > 0 {
+			if err := printJSON(r.Configuration); err != nil {
 				return err
 			}
 		}
@@ -147,7 +147,7 @@
 		cl := client(c)
 		base := c.Int64("based-on")
 		if base < 0 {
-			r, err := cl.Settings(ctx, false)
+			r, err := cl.Configuration(ctx, false)
 			if err != nil {
 				return err
 			}
@@ -191,12 +191,12 @@
 			return err
 		}
 	} else if r.Code == result.OK {
-		fmt.Println(r.Answer)
+		fmt.Println(r.Return)
 	}
 	if r.Code != result.OK {
 		m := r.Text
-		if r.Answer != "" {
-			m += "\n  " + r.Answer
+		if r.Return != "" {
+			m += "\n  " + r.Return
 		}
 		var e *language.Error
 		if _, err := language.Parse(t, time.Now()); r.Code == result.NotUnderstood && errors.As(err, &e) {
--- a/control/calendar.go
+++ b/control/calendar.go
@@ -35,8 +35,8 @@
 	}
 	// Wall tells the wall clock; only the calendar goes by it.
 	Wall struct{ Us int64 }
-	// Answer ends an Ask.
-	Answer struct {
+	// Told ends an Ask.
+	Told struct {
 		ID       uint64
 		Code     result.Code
 		Text     string
@@ -95,9 +95,9 @@
 }
 
 // ask understands a sentence and does what it says.
-func (c *Core) answer(now int64, e Ask) {
+func (c *Core) sentence(now int64, e Ask) {
 	ret := func(code result.Code, text string, bs ...*schema.Booking) {
-		c.fx.Do = append(c.fx.Do, Answer{ID: e.ID, Code: code, Text: text, Bookings: bs})
+		c.fx.Do = append(c.fx.Do, Told{ID: e.ID, Code: code, Text: text, Bookings: bs})
 	}
 	zone := c.zone(e.Partner)
 	s, err := language.Parse(e.Text, time.UnixMicro(c.wall(now)).In(zone))
--- a/control/core.go
+++ b/control/core.go
@@ -37,8 +37,8 @@
 
 // Events.
 type (
-	// PutSettings brings a partner's whole configuration or a merge patch.
-	PutSettings struct {
+	// PutConfiguration brings a partner's whole configuration or a merge patch.
+	PutConfiguration struct {
 		ID      uint64
 		Partner string
 		Base    uint64
@@ -46,8 +46,8 @@
 		DryRun  bool
 		Text    []byte
 	}
-	// GetSettings reads a partner's configuration through a majority.
-	GetSettings struct {
+	// GetConfiguration reads a partner's configuration through a majority.
+	GetConfiguration struct {
 		ID      uint64
 		Partner string
 	}
@@ -197,9 +197,9 @@
 	switch e := e.(type) {
 	case *schema.Envelope:
 		c.envelope(now, e)
-	case PutSettings:
-		c.putSettings(now, e)
-	case GetSettings:
+	case PutConfiguration:
+		c.putConfiguration(now, e)
+	case GetConfiguration:
 		c.read(now, ConfigPrefix+e.Partner, func(now int64, o ballots.Outcome) {
 			r := Return{ID: e.ID, Code: verdict(o.Verdict, false), Revision: o.Value.GetRevision(), Text: text(o.Value)}
 			c.fx.Do = append(c.fx.Do, r)
@@ -209,7 +209,7 @@
 			g.decider.Said(now, e.ID, e.Err, e.Status)
 		}
 	case Ask:
-		c.answer(now, e)
+		c.sentence(now, e)
 	case Wall:
 		c.wallOffset, c.wallKnown = e.Us-now, true
 	case Stop:
@@ -273,7 +273,7 @@
 		if p, ok := strings.CutPrefix(g.Key, ConfigPrefix); ok {
 			cf, ps := settings.ReadConfiguration(g.Value.Data)
 			if len(ps) > 0 {
-				c.say(result.InvalidSettings, "%s revision %d: %s", g.Key, g.Value.Revision, ps[0])
+				c.say(result.InvalidConfiguration, "%s revision %d: %s", g.Key, g.Value.Revision, ps[0])
 				continue
 			}
 			c.configs[p] = cf
@@ -335,9 +335,9 @@
 	return v.Data
 }
 
-// putSettings reads the newest revision through a majority, checks the change
+// putConfiguration reads the newest revision through a majority, checks the change
 // against it and puts it to the vote.
-func (c *Core) putSettings(now int64, e PutSettings) {
+func (c *Core) putConfiguration(now int64, e PutConfiguration) {
 	key := ConfigPrefix + e.Partner
 	ret := func(r Return) { r.ID = e.ID; c.fx.Do = append(c.fx.Do, r) }
 	c.read(now, key, func(now int64, o ballots.Outcome) {
@@ -363,7 +363,7 @@
 			}
 		}
 		if _, ps := settings.ReadConfiguration(next); len(ps) > 0 {
-			ret(Return{Code: result.InvalidSettings, Revision: e.Base, Problems: ps})
+			ret(Return{Code: result.InvalidConfiguration, Revision: e.Base, Problems: ps})
 			return
 		}
 		if e.DryRun {
--- a/control/operators.go
+++ b/control/operators.go
@@ -18,21 +18,21 @@
 
 // Reply is the shape of every return to an operator.
 type Reply struct {
-	Code     result.Code        `json:"code"`
-	Text     string             `json:"text"`
-	Detail   string             `json:"detail,omitempty"`
-	Partner  string             `json:"partner,omitempty"`
-	Revision uint64             `json:"revision"`
-	Settings json.RawMessage    `json:"settings,omitempty"`
-	Problems []settings.Problem `json:"problems,omitempty"`
-	Applied  map[string]uint64  `json:"applied,omitempty"`
+	Code          result.Code        `json:"code"`
+	Text          string             `json:"text"`
+	Detail        string             `json:"detail,omitempty"`
+	Partner       string             `json:"partner,omitempty"`
+	Revision      uint64             `json:"revision"`
+	Configuration json.RawMessage    `json:"configuration,omitempty"`
+	Problems      []settings.Problem `json:"problems,omitempty"`
+	Applied       map[string]uint64  `json:"applied,omitempty"`
 }
 
 func (p *Process) handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/settings", p.getSettings)
-	m.HandleFunc("PUT /v1/settings", func(w http.ResponseWriter, r *http.Request) { p.putSettings(w, r, false) })
-	m.HandleFunc("PATCH /v1/settings", func(w http.ResponseWriter, r *http.Request) { p.putSettings(w, r, true) })
+	m.HandleFunc("GET /v1/configuration", p.getConfiguration)
+	m.HandleFunc("PUT /v1/configuration", func(w http.ResponseWriter, r *http.Request) { p.putConfiguration(w, r, false) })
+	m.HandleFunc("PATCH /v1/configuration", func(w http.ResponseWriter, r *http.Request) { p.putConfiguration(w, r, true) })
 	m.HandleFunc("GET /v1/status", p.status)
 	m.HandleFunc("GET /v1/ready", p.ready)
 	m.HandleFunc("POST /v1/say", p.say)
@@ -69,58 +69,58 @@
 	return n, true
 }
 
-func (p *Process) getSettings(w http.ResponseWriter, r *http.Request) {
+func (p *Process) getConfiguration(w http.ResponseWriter, r *http.Request) {
 	n, ok := p.partner(w, r)
 	if !ok {
 		return
 	}
-	v, ok := wait[Return](p, func(id uint64) any { return GetSettings{ID: id, Partner: n} })
+	v, ok := wait[Return](p, func(id uint64) any { return GetConfiguration{ID: id, Partner: n} })
 	if !ok {
 		v.Code = result.NoVoterMajority
 	}
-	out := Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text}
+	out := Reply{Code: v.Code, Partner: n, Revision: v.Revision, Configuration: v.Text}
 	if r.URL.Query().Get("applied") != "" {
 		p.see(func(c *Core, _ int64) { out.Applied = c.Applied(ConfigPrefix + n) })
 	}
 	give(w, out)
 }
 
-// SettingsBody is the body of a change.
-type SettingsBody struct {
-	BasedOn  uint64          `json:"based_on"`
-	Settings json.RawMessage `json:"settings"`
+// ConfigurationBody is the body of a change.
+type ConfigurationBody struct {
+	BasedOn       uint64          `json:"based_on"`
+	Configuration json.RawMessage `json:"configuration"`
 }
 
-func (p *Process) putSettings(w http.ResponseWriter, r *http.Request, patch bool) {
+func (p *Process) putConfiguration(w http.ResponseWriter, r *http.Request, patch bool) {
 	n, ok := p.partner(w, r)
 	if !ok {
 		return
 	}
-	var b SettingsBody
+	var b ConfigurationBody
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
 	d.DisallowUnknownFields()
 	err := d.Decode(&b)
-	if err == nil && len(b.Settings) == 0 {
-		err = errors.New("settings: required")
+	if err == nil && len(b.Configuration) == 0 {
+		err = errors.New("configuration: required")
 	}
 	if err != nil {
 		give(w, Reply{Code: result.OperatorBadJSON, Detail: err.Error(), Partner: n})
 		return
 	}
 	v, ok := wait[Return](p, func(id uint64) any {
-		return PutSettings{ID: id, Partner: n, Base: b.BasedOn, Patch: patch, DryRun: r.URL.Query().Get("dry_run") != "", Text: b.Settings}
+		return PutConfiguration{ID: id, Partner: n, Base: b.BasedOn, Patch: patch, DryRun: r.URL.Query().Get("dry_run") != "", Text: b.Configuration}
 	})
 	if !ok {
 		v.Code = result.ChangeUncertain // this process stopped meanwhile
 	}
-	give(w, Reply{Code: v.Code, Partner: n, Revision: v.Revision, Settings: v.Text, Problems: v.Problems})
+	give(w, Reply{Code: v.Code, Partner: n, Revision: v.Revision, Configuration: v.Text, Problems: v.Problems})
 }
 
-// AnswerReply is the return to a sentence.
-type AnswerReply struct {
+// SentenceReply is the return to a sentence.
+type SentenceReply struct {
 	Code     result.Code       `json:"code"`
 	Text     string            `json:"text"`
-	Answer   string            `json:"answer,omitempty"`
+	Return   string            `json:"return,omitempty"`
 	Bookings []*schema.Booking `json:"bookings,omitempty"`
 }
 
@@ -139,11 +139,11 @@
 		give(w, Reply{Code: result.OperatorBadJSON, Detail: err.Error(), Partner: n})
 		return
 	}
-	v, ok := wait[Answer](p, func(id uint64) any { return Ask{ID: id, Partner: n, Text: b.Text} })
+	v, ok := wait[Told](p, func(id uint64) any { return Ask{ID: id, Partner: n, Text: b.Text} })
 	if !ok {
 		v.Code = result.ChangeUncertain
 	}
-	giveJSON(w, v.Code.Row().HTTP, AnswerReply{Code: v.Code, Text: v.Code.String(), Answer: v.Text, Bookings: v.Bookings})
+	giveJSON(w, v.Code.Row().HTTP, SentenceReply{Code: v.Code, Text: v.Code.String(), Return: v.Text, Bookings: v.Bookings})
 }
 
 // NodeStatus and GroupStatus are what operators see of the fleet.
--- a/control/process.go
+++ b/control/process.go
@@ -158,9 +158,9 @@
 			if ch, ok := p.waiters.LoadAndDelete(d.ID); ok {
 				ch.(chan Return) <- d
 			}
-		case Answer:
+		case Told:
 			if ch, ok := p.waiters.LoadAndDelete(d.ID); ok {
-				ch.(chan Answer) <- d
+				ch.(chan Told) <- d
 			}
 		case Replace:
 			go p.tellPlatform("replace", func(ctx context.Context) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,7 +25,7 @@
 type Service interface{ Run(context.Context) error }
 
 // Main runs a daemon. provide tells the container how the service is made;
-// changed is called when the boot file has new settings.
+// changed is called when the boot file has changed.
 func Main(name, usage string, provide func(do.Injector) (Service, error), changed func(Service, *schema.Boot)) {
 	c := &cli.Command{Name: name, Usage: usage, Flags: bootfile.Flags(), Action: func(ctx context.Context, c *cli.Command) error {
 		b, err := bootfile.Read(c)
--- a/databaseclient/client.go
+++ b/databaseclient/client.go
@@ -48,7 +48,7 @@
 
 // Run is what a run returns.
 type Run struct {
-	Refused string   `json:"refused"`
+	Bounced string   `json:"refused"`
 	Results []Result `json:"results"`
 	Epoch   uint64   `json:"epoch"`
 	Applied int64    `json:"applied"`
@@ -144,7 +144,7 @@
 }
 
 // Seal has a database take no log and no statement below an epoch. One that
-// refuses tells its status all the same.
+// bounces tells its status all the same.
 func (c *Client) Seal(ctx context.Context, addr string, epoch uint64) (Status, error) {
 	var s Status
 	return s, c.do(ctx, http.MethodPost, "http://"+addr+"/v1/seal", map[string]uint64{"epoch": epoch}, &s)
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -1,4 +1,4 @@
-// Package freshness decides which copy answers a read and when it may start,
+// Package freshness decides which copy serves a read and when it may start,
 // after "Refresco: Improving Query Performance Through Freshness Control in a
 // Database Cluster" (docs/refresco.md says what was kept and changed).
 //
--- a/links/links.go
+++ b/links/links.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return false
 	}
-	c := drpcconn.New(deadlined{nc})
+	c := drpcconn.New(expiring{nc})
 	defer c.Close()
 	ctx, stop := context.WithCancel(l.ctx)
 	defer stop()
@@ -129,11 +129,11 @@
 	}
 }
 
-// deadlined gives up on a neighbour that takes no bytes: its kernel may hold
+// expiring gives up on a neighbour that takes no bytes: its kernel may hold
 // the connection open long after its process stopped.
-type deadlined struct{ net.Conn }
+type expiring struct{ net.Conn }
 
-func (d deadlined) Write(b []byte) (int, error) {
+func (d expiring) Write(b []byte) (int, error) {
 	if err := d.SetWriteDeadline(time.Now().Add(stuckWrites)); err != nil {
 		return 0, err
 	}
--- a/neighbours/neighbours_test.go
+++ b/neighbours/neighbours_test.go
@@ -14,14 +14,14 @@
 	var all []string
 	for i := range 30 {
 		all = append(all, fmt.Sprint("n", i))
-		load := map[string]int{}
+		many := map[string]int{}
 		for _, n := range all {
 			ws := Of(n, all)
 			if len(ws) != min(Watchers, len(all)-1) || slices.Contains(ws, n) {
 				t.Fatalf("%s of %d is watched by %v", n, len(all), ws)
 			}
 			for _, w := range ws {
-				load[w]++
+				many[w]++
 			}
 			less := slices.DeleteFunc(slices.Clone(all), func(o string) bool { return o == all[0] })
 			if !slices.Contains(ws, all[0]) && n != all[0] && !slices.Equal(ws, Of(n, less)) {
@@ -37,13 +37,13 @@
 	w := New("a")
 	now := int64(1_000_000)
 	w.Nodes(now, []string{"a", "b", "c"})
-	answer := func() {
+	reply := func() {
 		for _, s := range w.Tick(now).Send {
 			w.Step(now, &schema.Envelope{From: s.To, Body: &schema.Envelope_Pong{Pong: &schema.Pong{}}})
 		}
 	}
 	for range 10 {
-		answer()
+		reply()
 		now += pingEvery
 	}
 	now += 30_000_000
--- a/operators/client.go
+++ b/operators/client.go
@@ -22,7 +22,7 @@
 
 const askTime = 7 * time.Second
 
-// Do puts a query to the control processes in turn until one answers. A change
+// Do puts a query to the control processes in turn until one replies. A change
 // goes to the next only when the one before it was never reached: after that,
 // whether it took effect is for the operator to read.
 func (c Client) Do(ctx context.Context, method, path string, in, out any) error {
@@ -72,11 +72,11 @@
 	return json.NewDecoder(rs.Body).Decode(out)
 }
 
-// Settings reads the partner's configuration; applied asks who works by which
+// Configuration reads the partner's configuration; applied asks who works by which
 // revision.
-func (c Client) Settings(ctx context.Context, applied bool) (control.Reply, error) {
+func (c Client) Configuration(ctx context.Context, applied bool) (control.Reply, error) {
 	var r control.Reply
-	p := "/v1/settings"
+	p := "/v1/configuration"
 	if applied {
 		p += "?applied=1"
 	}
@@ -84,16 +84,16 @@
 }
 
 // Change sends a whole configuration or a merge patch based on a revision.
-func (c Client) Change(ctx context.Context, base uint64, settings json.RawMessage, patch, dry bool) (control.Reply, error) {
+func (c Client) Change(ctx context.Context, base uint64, configuration json.RawMessage, patch, dry bool) (control.Reply, error) {
 	var r control.Reply
-	m, p := http.MethodPut, "/v1/settings"
+	m, p := http.MethodPut, "/v1/configuration"
 	if patch {
 		m = http.MethodPatch
 	}
 	if dry {
 		p += "?dry_run=1"
 	}
-	return r, c.Do(ctx, m, p, control.SettingsBody{BasedOn: base, Settings: settings}, &r)
+	return r, c.Do(ctx, m, p, control.ConfigurationBody{BasedOn: base, Configuration: configuration}, &r)
 }
 
 // Status reads what a control process knows of the fleet.
@@ -111,7 +111,7 @@
 }
 
 // Say types a sentence of the language.
-func (c Client) Say(ctx context.Context, text string) (control.AnswerReply, error) {
-	var r control.AnswerReply
+func (c Client) Say(ctx context.Context, text string) (control.SentenceReply, error) {
+	var r control.SentenceReply
 	return r, c.Do(ctx, http.MethodPost, "/v1/say", map[string]string{"text": text}, &r)
 }
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -12,7 +12,7 @@
 
 const (
 	// LengthUs is how long a permit lasts from the start of the ask that it
-	// answers.
+	// returns.
 	LengthUs = 5_000_000
 	// goneUs is when a holder takes a permit to have surely run out: a tenth
 	// longer, for clocks that run at different rates.
@@ -44,7 +44,7 @@
 	return from + "#" + string(rune(run%0xd000)) + string(rune(run/0xd000%0xd000))
 }
 
-// Ask answers a node. wants says whether the node should have any share.
+// Ask serves a node. wants says whether the node should have any share.
 func (h *Holder) Ask(now int64, from string, a *schema.PermitAsk, limits map[string]int32, wants bool) *schema.PermitGive {
 	maps.DeleteFunc(h.nodes, func(_ string, g *grant) bool { return now >= g.until })
 	// A holder that came after another cannot know which permits that one gave
@@ -135,7 +135,7 @@
 	return m
 }
 
-// Give takes an answer; one to an earlier ask is void. It says whether the
+// Give takes a return; one to an earlier ask is void. It says whether the
 // permit changed.
 func (a *Asker) Give(now int64, g *schema.PermitGive) bool {
 	if g.Number != a.number || g.Group != a.group {
--- a/pool/core.go
+++ b/pool/core.go
@@ -204,7 +204,7 @@
 	}
 	cf, ps := settings.ReadConfiguration(v.Data)
 	if len(ps) > 0 {
-		c.say(result.InvalidSettings, "%s revision %d: %s", key, v.Revision, ps[0])
+		c.say(result.InvalidConfiguration, "%s revision %d: %s", key, v.Revision, ps[0])
 		return
 	}
 	c.configs[strings.TrimPrefix(key, control.ConfigPrefix)] = cf
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -359,7 +359,7 @@
 }
 
 // Ready says whether a query allowed now could be served: the node is permitted
-// connections to a primary that answers and is followed.
+// connections to a primary that replies and is followed.
 func (t *Table) Ready(now int64) bool {
 	p, ok := t.w.member(t.w.Primary)
 	return ok && p.permit(now) > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// followed says whether any replica still answers in the epoch: without one
+// followed says whether any replica still replies in the epoch: without one
 // nothing the primary does could be vouched for.
 func (t *Table) followed(now int64) bool {
 	return slices.ContainsFunc(t.w.Members, func(w Member) bool {
@@ -282,7 +282,7 @@
 	s := t.sessions[q.Session]
 	inTx := s.conn != 0
 	switch {
-	case e.Refused != "" || e.Err != "" && !e.Left:
+	case e.Bounced != "" || e.Err != "" && !e.Left:
 		// The database took nothing of it, or never heard of it.
 		t.members[q.db].next = 0
 		if !q.write {
@@ -292,7 +292,7 @@
 		t.closeConn(c)
 		s.conn = 0
 		if inTx && !q.Begin {
-			t.end(now, q, Return{Code: result.TransactionLost, Outcome: result.NothingKept, Text: e.Refused + e.Err})
+			t.end(now, q, Return{Code: result.TransactionLost, Outcome: result.NothingKept, Text: e.Bounced + e.Err})
 		} else {
 			t.bounceQuery(now, q, result.DatabaseAway, retryPrimary)
 		}
@@ -349,7 +349,7 @@
 	q.waited = now
 }
 
-// failed ends a query whose statement the database refused; it confirmed that
+// failed ends a query whose statement the database bounced; it confirmed that
 // nothing of it was kept.
 func (t *Table) failed(now int64, q *query, c *conn, text string) {
 	s := t.sessions[q.Session]
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -127,7 +127,7 @@
 		Run     uint64
 		Left    bool
 		Err     string
-		Refused string
+		Bounced string
 		Results []Result
 		Epoch   uint64
 		Applied int64
@@ -196,7 +196,7 @@
 		ID      int64
 		Epoch   uint64
 		Ops     []Op
-		// ReadOnly has the database refuse to write.
+		// ReadOnly has the database bounce a write.
 		ReadOnly bool
 		UntilUs  int64
 	}
@@ -219,7 +219,7 @@
 		RetryAfterUs int64
 		Token        Token
 		Copy         string
-		Replica      bool  // a replica answered
+		Replica      bool  // a replica served it
 		Position     int64 // what a read showed
 		Open         bool  // a transaction is open behind it
 	}
--- a/records/records.go
+++ b/records/records.go
@@ -145,7 +145,7 @@
 	return fx
 }
 
-// ranges answers each range that differs: a small one with its records, and
+// ranges replies to each range that differs: a small one with its records, and
 // where the other copy has some too, with a digest that asks for them; a large
 // one split into parts.
 func (s *Store) ranges(fx *Effects, from string, rs []*schema.RangeDigest) {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -22,9 +22,9 @@
 	return p
 }
 
-func rec(at, method, path, body, answer string) string {
+func rec(at, method, path, body, back string) string {
 	return fmt.Sprintf(`{"startedDateTime":%q,"time":1,"request":{"method":%q,"url":"http://10.0.0.9:7201%s","httpVersion":"HTTP/1.1","cookies":[],"headers":[],"queryString":[],"postData":{"mimeType":"application/json","params":[],"text":%q},"headersSize":-1,"bodySize":-1},"response":{"status":200,"statusText":"OK","httpVersion":"HTTP/1.1","cookies":[],"headers":[],"content":{"size":1,"mimeType":"application/json","text":%q},"redirectURL":"","headersSize":-1,"bodySize":-1},"cache":{},"timings":{"send":0,"wait":1,"receive":0}}`,
-		at, method, path, body, answer)
+		at, method, path, body, back)
 }
 
 // TestReplay: entries go out in the order of their times, to the sessions they
@@ -56,9 +56,9 @@
 		rec("2026-11-30T08:00:01.000Z", "POST", "/v1/sessions", `{}`, `{}`),
 		rec("yesterday", "POST", "/v1/sessions", `{}`, `{}`),
 		rec("2026-11-30T08:00:01.000Z", "GET", "/v1/sessions", `{}`, `{}`),
-		rec("2026-11-30T08:00:01.000Z", "POST", "/v1/settings", `{}`, `{}`),
+		rec("2026-11-30T08:00:01.000Z", "POST", "/v1/configuration", `{}`, `{}`),
 		rec("2026-11-30T08:00:01.000Z", "POST", "/v1/sessions/a/queries", `{`, `{}`)))
-	for _, w := range []string{"day.har: entry 2: startedDateTime", "day.har: entry 3: GET", "day.har: entry 4: POST /v1/settings", "day.har: entry 5: its body"} {
+	for _, w := range []string{"day.har: entry 2: startedDateTime", "day.har: entry 3: GET", "day.har: entry 4: POST /v1/configuration", "day.har: entry 5: its body"} {
 		if err == nil || !strings.Contains(fmt.Sprintf("%+v", err), w) {
 			t.Errorf("%q is not told in %+v", w, err)
 		}
--- a/result/result.go
+++ b/result/result.go
@@ -46,35 +46,35 @@
 	NoMajority      Code = 302
 	TransactionLost Code = 303
 
-	BadOperatorToken   Code = 401
-	NotOwner           Code = 402
-	InvalidSettings    Code = 403
-	LosingRevision     Code = 404
-	ChangeUncertain    Code = 405
-	NoVoterMajority    Code = 406
-	UnknownPath        Code = 407
-	OperatorBadJSON    Code = 408
-	NoSuchThing        Code = 409
-	NotUnderstood      Code = 410
-	Ambiguous          Code = 411
-	Overlaps           Code = 412
-	TooMuchAtOnce      Code = 413
-	PastTime           Code = 414
-	WrongState         Code = 415
-	TakeoverOpened     Code = 501
-	TakeoverChosen     Code = 502
-	TakeoverSeen       Code = 503
-	TakeoverWaits      Code = 504
-	MemberAdmitted     Code = 505
-	DutyTaken          Code = 506
-	NeighbourSuspected Code = 507
-	RevisionApplied    Code = 508
-	VoterFormed        Code = 509
-	BootChanged        Code = 510
-	BootInvalid        Code = 511
-	EpochSeen          Code = 512
-	LogDamaged         Code = 513
-	BookingMoved       Code = 514
+	BadOperatorToken     Code = 401
+	NotOwner             Code = 402
+	InvalidConfiguration Code = 403
+	LosingRevision       Code = 404
+	ChangeUncertain      Code = 405
+	NoVoterMajority      Code = 406
+	UnknownPath          Code = 407
+	OperatorBadJSON      Code = 408
+	NoSuchThing          Code = 409
+	NotUnderstood        Code = 410
+	Ambiguous            Code = 411
+	Overlaps             Code = 412
+	TooMuchAtOnce        Code = 413
+	PastTime             Code = 414
+	WrongState           Code = 415
+	TakeoverOpened       Code = 501
+	TakeoverChosen       Code = 502
+	TakeoverSeen         Code = 503
+	TakeoverWaits        Code = 504
+	MemberAllowed        Code = 505
+	DutyTaken            Code = 506
+	NeighbourSuspected   Code = 507
+	RevisionApplied      Code = 508
+	VoterFormed          Code = 509
+	BootChanged          Code = 510
+	BootInvalid          Code = 511
+	EpochSeen            Code = 512
+	LogDamaged           Code = 513
+	BookingMoved         Code = 514
 )
 
 // Row is one code's line in the table.
@@ -98,14 +98,14 @@
 	{SessionInUse, 409, "another query of this session is not ended yet", "wait for its return"},
 	{UnknownPrepared, 400, "the session has no such prepared name", "prepare it first"},
 	{BadToken, 400, "the resume token is not one of this route's group", "open the session without it, or on its own route"},
-	{StatementFailed, 422, "the database refused the statement", "read the statement's error"},
+	{StatementFailed, 422, "the database bounced the statement", "read the statement's error"},
 	{InTransaction, 409, "session values and prepared names cannot change while a transaction is open", "end the transaction first"},
 	{BadQuery, 400, "the query has no statement, or a read-only class with begin", "correct the query"},
 	{SessionExists, 409, "the session id is taken", "name another, or none"},
 	{LineFull, 503, "the line of this route is full on this node", "come back after retry_after_us"},
 	{ExpiryTooNear, 503, "the query cannot make its expiry", "come back after retry_after_us, or give it longer"},
 	{Stopping, 503, "this node is stopping", "open the session on another node with the token, at once"},
-	{NoPrimary, 503, "the group has no primary that answers; a takeover may be on its way", "come back after retry_after_us"},
+	{NoPrimary, 503, "the group has no primary that replies; a takeover may be on its way", "come back after retry_after_us"},
 	{NotFresh, 503, "no copy is known to be fresh enough", "come back after retry_after_us"},
 	{NoConnections, 503, "this node holds no permit for a connection to the database", "come back after retry_after_us"},
 	{NotConfigured, 503, "the node has no configuration yet", "come back after retry_after_us"},
@@ -116,7 +116,7 @@
 	{TransactionLost, 409, "the open transaction was lost before its commit left", "begin it again"},
 	{BadOperatorToken, 401, "the token is missing or no partner's", "send the partner's token"},
 	{NotOwner, 403, "this belongs to the other partner", "ask its owner"},
-	{InvalidSettings, 422, "the configuration has errors; each is listed by field", "correct the fields"},
+	{InvalidConfiguration, 422, "the configuration has errors; each is listed by field", "correct the fields"},
 	{LosingRevision, 409, "another revision came first; the current one is returned", "read it and base the change on it"},
 	{ChangeUncertain, 504, "no majority confirmed the change in time; it may still come into force", "read the configuration before sending again"},
 	{NoVoterMajority, 503, "no majority of voters was reached; nothing was changed", "come back after retry_after_us"},
@@ -133,13 +133,13 @@
 	{TakeoverChosen, 0, "the furthest sealed copy was agreed as the primary", "watch for 503"},
 	{TakeoverSeen, 0, "the new primary was seen in its epoch", "nothing"},
 	{TakeoverWaits, 0, "the takeover waits: fewer than a majority of copies could be sealed", "bring a copy of the group back"},
-	{MemberAdmitted, 0, "a copy with a new disk has caught up and counts as a member", "nothing"},
+	{MemberAllowed, 0, "a copy with a new disk has caught up and counts as a member", "nothing"},
 	{DutyTaken, 0, "a duty changed hands", "nothing"},
 	{NeighbourSuspected, 0, "a neighbour is silent", "look at the machine if it stays so"},
 	{RevisionApplied, 0, "a revision is in force on this process", "nothing"},
 	{VoterFormed, 0, "this voter votes from now on", "nothing"},
 	{BootChanged, 0, "the boot file changed and what takes effect at once did", "nothing"},
-	{BootInvalid, 0, "the boot file changed and has errors; the old settings stay", "correct the file"},
+	{BootInvalid, 0, "the boot file changed and has errors; the old boot stays", "correct the file"},
 	{EpochSeen, 0, "the node follows a new epoch of a group", "nothing"},
 	{LogDamaged, 0, "the voter's log is damaged; it was set aside and the voter joins anew", "look at the disk; remove the log that was set aside"},
 	{BookingMoved, 0, "a booking went on to its next state", "nothing"},
--- a/simulation/bookings_test.go
+++ b/simulation/bookings_test.go
@@ -13,11 +13,11 @@
 	"stoneford/simulation"
 )
 
-// booked types a sentence until a control process answers, and returns that.
-func booked(f *simulation.Fleet, who, text string) control.Answer {
+// booked types a sentence until a control process replies, and returns that.
+func booked(f *simulation.Fleet, who, text string) control.Told {
 	for i := 0; ; i++ {
-		var got *control.Answer
-		f.Type(f.Controls[i%3], who, text, func(a control.Answer) { got = &a })
+		var got *control.Told
+		f.Type(f.Controls[i%3], who, text, func(a control.Told) { got = &a })
 		for end := f.Now + 6_000_000; got == nil && f.Now < end; {
 			f.Run(f.Now + 10_000)
 		}
@@ -33,14 +33,14 @@
 }
 
 // TestPlannedMoves: a replica and then the primary are replaced, the primary is
-// switched and a machine stopped, all from the calendar, under load; on odd
+// switched and a machine stopped, all from the calendar, under burden; on odd
 // seeds the control process that carries the move out is killed in its midst.
 func TestPlannedMoves(t *testing.T) {
 	each(12, 0, func(seed uint64) {
 		p := plan(seed)
 		p.Groups, p.ThinkUs = []string{"inventory-1"}, 400_000
 		f := simulation.NewFleet(p)
-		f.PutSettings(nil)
+		f.PutConfiguration(nil)
 		f.Run(3_000_000)
 		f.Callers()
 		for i, c := range []struct{ what, kind string }{
@@ -105,7 +105,7 @@
 	p := plan(3)
 	p.Groups, p.Sessions, p.Machines = []string{"inventory-1"}, 0, 6
 	f := simulation.NewFleet(p)
-	f.PutSettings(nil)
+	f.PutConfiguration(nil)
 	f.Run(4_000_000)
 	for _, c := range []struct {
 		who, text string
@@ -138,7 +138,7 @@
 	var mu sync.Mutex
 	codes := map[result.Code]int{}
 	for i := range 3 {
-		f.Type(f.Controls[i], "pharmacies", "book inventory-1-b for replacement at "+clock(f, 300), func(a control.Answer) {
+		f.Type(f.Controls[i], "pharmacies", "book inventory-1-b for replacement at "+clock(f, 300), func(a control.Told) {
 			mu.Lock()
 			codes[a.Code]++
 			mu.Unlock()
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -33,7 +33,7 @@
 	f *Fleet
 	*checker.Checker
 	Samples  []Sample
-	Refused  int            // connections a database refused for its limit
+	Bounced  int            // connections bounced by a database for its limit
 	accepted control.Return // newest configuration told accepted
 }
 
@@ -41,7 +41,7 @@
 
 func (t *Truth) bad(s string) { t.Odd("%s", s) }
 
-func (t *Truth) settings(r control.Return) {
+func (t *Truth) configured(r control.Return) {
 	if r.Revision > t.accepted.Revision {
 		t.accepted = r
 	}
@@ -209,7 +209,7 @@
 	lost := querytable.Return{Code: -1, Outcome: result.Uncertain}
 	f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() {
 		if !n.up || n.gen != g {
-			// Refused: nothing was there to take it.
+			// Bounced: nothing was there to take it.
 			end(querytable.Return{Code: result.UnknownSession, Outcome: result.NothingKept})
 			return
 		}
@@ -361,7 +361,7 @@
 		logs[f.partner+"/"+f.route(g)] = p.c.Log(0)
 	}
 	read := false
-	f.Operate(f.Controls[0], func(id uint64) any { return control.GetSettings{ID: id, Partner: f.partner} }, func(r control.Return) {
+	f.Operate(f.Controls[0], func(id uint64) any { return control.GetConfiguration{ID: id, Partner: f.partner} }, func(r control.Return) {
 		read = true
 		if r.Code != result.OK || r.Revision < f.Truth.accepted.Revision || r.Revision == f.Truth.accepted.Revision && string(r.Text) != string(f.Truth.accepted.Text) {
 			f.Bad("read back %d revision %d, and %d was told accepted", r.Code, r.Revision, f.Truth.accepted.Revision)
--- a/simulation/databases.go
+++ b/simulation/databases.go
@@ -70,7 +70,7 @@
 	d.c = c
 }
 
-func (d *DB) answers() bool { return d.up && !d.dark && !d.paused }
+func (d *DB) talks() bool { return d.up && !d.dark && !d.paused }
 
 // changed wakes who waits for a position.
 func (d *DB) changed() {
@@ -142,7 +142,7 @@
 	f.After(f.Net.Delay(from, addr), func() {
 		switch {
 		case db == nil || !db.up:
-			f.After(100, func() { finish(nil, false) }) // refused
+			f.After(100, func() { finish(nil, false) }) // bounced
 			return
 		case !f.Net.Reaches(from, addr):
 			return // times out
@@ -208,7 +208,7 @@
 	}
 	after, ae := d.asked, d.c.EpochAt(d.asked)
 	f.After(f.Net.Delay(d.addr, p.addr), func() {
-		if !p.answers() || !f.Net.Reaches(d.addr, p.addr) || !f.Net.Reaches(p.addr, d.addr) {
+		if !p.talks() || !f.Net.Reaches(d.addr, p.addr) || !f.Net.Reaches(p.addr, d.addr) {
 			again(20_000)
 			return
 		}
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -255,7 +255,7 @@
 	}
 	for _, n := range f.Cf.Groups[g].Members {
 		d := f.DBs[n]
-		if !d.answers() || d.noTake || d.c.Epoch != p.c.Epoch || d.c.LogEpoch() != p.c.Epoch || ids[d.name] != d.c.Identity || p.c.Received()-d.c.Received() > 50 {
+		if !d.talks() || d.noTake || d.c.Epoch != p.c.Epoch || d.c.LogEpoch() != p.c.Epoch || ids[d.name] != d.c.Identity || p.c.Received()-d.c.Received() > 50 {
 			return false
 		}
 	}
@@ -403,7 +403,7 @@
 		}
 		f.say("operator %d sends a change on revision %d", i, base)
 		f.Operate(c, func(id uint64) any {
-			return control.PutSettings{ID: id, Partner: f.partner, Base: base, Patch: true, Text: []byte(text)}
+			return control.PutConfiguration{ID: id, Partner: f.partner, Base: base, Patch: true, Text: []byte(text)}
 		}, func(r control.Return) {
 			f.say("operator %d hears %d revision %d", i, r.Code, r.Revision)
 			switch {
@@ -412,7 +412,7 @@
 			case r.Code == result.OK && r.Revision <= f.Truth.accepted.Revision && f.Truth.accepted.Revision > base:
 				f.Bad("two changes on revision %d were both accepted", base)
 			case r.Code == result.OK:
-				f.Truth.settings(r)
+				f.Truth.configured(r)
 			}
 		})
 	}
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -17,23 +17,23 @@
 
 // Plan is what a simulated fleet is made of and what it has to bear.
 type Plan struct {
-	Seed        uint64
-	Partner     string // default pharmacies
-	Settings    []byte // a configuration as operators send it; without one it is made of Groups, Zones and Connections
-	Machines    int
-	Groups      []string
-	Zones       []string
-	Connections int32
-	Sessions    int
-	ThinkUs     int64 // mean pause of a session between two things it does
-	ServiceUs   int64 // mean time of a run
-	Servers     int   // runs a database works on at once
-	LagUs       int64 // replicas apply a commit this much late
-	Choice      string
-	Position    bool
-	DelayUs     int64 // greatest delay of one way, 0 for 1500
-	BetweenUs   int64 // added to each way between two zones
-	Plant       Plant
+	Seed          uint64
+	Partner       string // default pharmacies
+	Configuration []byte // a configuration as operators send it; without one it is made of Groups, Zones and Connections
+	Machines      int
+	Groups        []string
+	Zones         []string
+	Connections   int32
+	Sessions      int
+	ThinkUs       int64 // mean pause of a session between two things it does
+	ServiceUs     int64 // mean time of a run
+	Servers       int   // runs a database works on at once
+	LagUs         int64 // replicas apply a commit this much late
+	Choice        string
+	Position      bool
+	DelayUs       int64 // greatest delay of one way, 0 for 1500
+	BetweenUs     int64 // added to each way between two zones
+	Plant         Plant
 }
 
 // Plant is a fault put into the harness around the cores, to show that the
@@ -44,7 +44,7 @@
 	NoPlant           Plant = iota
 	AckBeforeMajority       // replicas are said to hold what they do not hold
 	SkippedEntry            // polls of the primary leave its newest commits out
-	UnsealedTakeover        // a seal is answered without sealing
+	UnsealedTakeover        // a seal is confirmed without sealing
 	TornSession             // a connection is said to be reset and is not
 	UnheardLeaving          // tables are not told that a database leaves
 )
@@ -92,7 +92,7 @@
 	byAddr   map[string]*DB
 	ids      uint64
 	returns  map[uint64]func(control.Return)
-	answers  map[uint64]func(control.Answer)
+	told     map[uint64]func(control.Told)
 	plat     map[string]uint64 // platform: highest epoch by group
 	platT    map[string]string
 	Truth    *Truth
@@ -122,15 +122,15 @@
 	if p.Partner == "" {
 		p.Partner = "pharmacies"
 	}
-	if p.Settings == nil {
-		p.Settings = p.settings()
+	if p.Configuration == nil {
+		p.Configuration = p.configuration()
 	}
-	cf, ps := settings.ReadConfiguration(p.Settings)
+	cf, ps := settings.ReadConfiguration(p.Configuration)
 	if len(ps) > 0 {
 		panic(fmt.Sprint("simulation: ", ps))
 	}
 	p.Groups = slices.Sorted(maps.Keys(cf.Groups))
-	f := &Fleet{World: w, Plan: p, Cf: cf, partner: p.Partner, class: map[string]string{}, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, answers: map[uint64]func(control.Answer){},
+	f := &Fleet{World: w, Plan: p, Cf: cf, partner: p.Partner, class: map[string]string{}, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, told: map[uint64]func(control.Told){},
 		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, PlatformUs: 5_000}
 	if p.DelayUs > 0 {
 		f.Net.DelayLo, f.Net.DelayHi = p.DelayUs/10, p.DelayUs
@@ -180,8 +180,8 @@
 	return f
 }
 
-// settings is a configuration of the plan's groups.
-func (p Plan) settings() []byte {
+// configuration is one of the plan's groups.
+func (p Plan) configuration() []byte {
 	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
 	for i, g := range p.Groups {
 		var ms []string
@@ -247,9 +247,9 @@
 			f.askDatabase(c, d)
 		case control.Platform:
 			f.platform(d)
-		case control.Answer:
-			if r := f.answers[d.ID]; r != nil {
-				delete(f.answers, d.ID)
+		case control.Told:
+			if r := f.told[d.ID]; r != nil {
+				delete(f.told, d.ID)
 				r(d)
 			}
 		case control.Replace:
@@ -292,10 +292,10 @@
 }
 
 // Type has a partner type a sentence at a control process.
-func (f *Fleet) Type(c *controlProc, who, text string, done func(control.Answer)) {
+func (f *Fleet) Type(c *controlProc, who, text string, done func(control.Told)) {
 	f.ids++
 	id := f.ids
-	f.answers[id] = done
+	f.told[id] = done
 	f.toControl(c, c.gen, control.Ask{ID: id, Partner: who, Text: text})
 }
 
@@ -334,7 +334,7 @@
 		}
 		f.plat[d.Group], f.platT[d.Group] = d.Epoch, d.Target
 		t := f.DBs[d.Target]
-		if t == nil || !t.answers() {
+		if t == nil || !t.talks() {
 			return
 		}
 		if !t.c.Promote(d.Epoch, f.Now) {
@@ -342,7 +342,7 @@
 		}
 		t.changed()
 		for _, m := range d.Members {
-			if o := f.DBs[m.Name]; o != nil && m.Name != d.Target && o.answers() {
+			if o := f.DBs[m.Name]; o != nil && m.Name != d.Target && o.talks() {
 				o.c.Follow(d.Epoch, t.addr)
 				o.changed()
 			}
@@ -492,7 +492,7 @@
 	f.call(n.boot.Listen, e.Address, 1_000_000, func(db *DB, reply func(any)) {
 		id, ok := db.c.Open(n.boot.Name, run, f.Now)
 		if !ok {
-			f.Truth.Refused++
+			f.Truth.Bounced++
 			reply("limit")
 			return
 		}
@@ -529,12 +529,12 @@
 				db.lose--
 				return
 			}
-			reply(databasecopy.RunReturn{Refused: ref, Results: rs, Epoch: db.c.Epoch, Applied: db.c.Applied(), AtUs: f.Now})
+			reply(databasecopy.RunReturn{Bounced: ref, Results: rs, Epoch: db.c.Epoch, Applied: db.c.Applied(), AtUs: f.Now})
 		})
 	}, func(v any, left bool) {
 		r := querytable.Ran{Run: e.Run, Left: left}
 		if v, ok := v.(databasecopy.RunReturn); ok {
-			r.Refused, r.Epoch, r.Applied = v.Refused, v.Epoch, v.Applied
+			r.Bounced, r.Epoch, r.Applied = v.Bounced, v.Epoch, v.Applied
 			for _, s := range v.Results {
 				r.Results = append(r.Results, querytable.Result(s))
 			}
@@ -574,9 +574,9 @@
 	})
 }
 
-// PutSettings sends a configuration until it is in force.
-func (f *Fleet) PutSettings(done func()) {
-	b := f.Plan.Settings
+// PutConfiguration sends a configuration until it is in force.
+func (f *Fleet) PutConfiguration(done func()) {
+	b := f.Plan.Configuration
 	var try func()
 	try = func() {
 		c := f.Controls[f.R.IntN(3)]
@@ -584,12 +584,12 @@
 			f.After(200_000, try)
 			return
 		}
-		f.Operate(c, func(id uint64) any { return control.PutSettings{ID: id, Partner: f.partner, Text: b} }, func(r control.Return) {
+		f.Operate(c, func(id uint64) any { return control.PutConfiguration{ID: id, Partner: f.partner, Text: b} }, func(r control.Return) {
 			if r.Revision == 0 {
 				f.After(200_000, try)
 				return
 			}
-			f.Truth.settings(r)
+			f.Truth.configured(r)
 			if done != nil {
 				done()
 			}
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -24,7 +24,7 @@
 // faulty runs one seed under random faults.
 func faulty(p simulation.Plan) (*simulation.Fleet, checker.Verdict) {
 	f := simulation.NewFleet(p)
-	f.PutSettings(nil)
+	f.PutConfiguration(nil)
 	f.Run(3_000_000)
 	f.Callers()
 	f.RandomFaults(f.Now+30_000_000, 1_500_000)
@@ -107,7 +107,7 @@
 				pl.Plant, pl.LagUs, pl.Sessions = plant, c.lag, c.sessions
 				f := simulation.NewFleet(pl)
 				f.Quiet = true
-				f.PutSettings(nil)
+				f.PutConfiguration(nil)
 				f.Run(3_000_000)
 				f.Callers()
 				c.faults(f)
@@ -181,7 +181,7 @@
 }
 
 // TestServesAfterAReturn: a zone is lost for ten seconds under three times the
-// load, or every pool node at once, and comes back; of what callers send from
+// burden, or every pool node at once, and comes back; of what callers send from
 // 12 s after the return on, at least a quarter is served. With permits lost on
 // the way, which is planted, nothing is.
 func TestServesAfterAReturn(t *testing.T) {
@@ -197,7 +197,7 @@
 			p.Machines, p.Sessions, p.ThinkUs = 6, 60, 150_000
 			f := simulation.NewFleet(p)
 			f.Quiet = true
-			f.PutSettings(nil)
+			f.PutConfiguration(nil)
 			f.Run(3_000_000)
 			f.Callers()
 			f.Run(f.Now + 3_000_000)
--- a/simulation/news_test.go
+++ b/simulation/news_test.go
@@ -19,7 +19,7 @@
 		p.Machines = 11
 		f := simulation.NewFleet(p)
 		f.Quiet = true
-		f.PutSettings(nil)
+		f.PutConfiguration(nil)
 		f.Run(4_000_000)
 		f.Net.Drop = 0.1
 		for i := range 6 {
@@ -31,7 +31,7 @@
 			rev := uint64(0)
 			c := f.Controls[int(seed)%3]
 			f.Operate(c, func(id uint64) any {
-				return control.PutSettings{ID: id, Partner: "pharmacies", Base: uint64(i + 1), Patch: true, Text: []byte(`{"time_zone":"UTC"}`)}
+				return control.PutConfiguration{ID: id, Partner: "pharmacies", Base: uint64(i + 1), Patch: true, Text: []byte(`{"time_zone":"UTC"}`)}
 			}, func(r control.Return) {
 				if r.Code != result.OK {
 					t.Errorf("seed %d: change %d: %d", seed, i, r.Code)
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -22,8 +22,8 @@
 	"stoneford/standin/checker"
 )
 
-// Load is what callers do.
-type Load struct {
+// Burden is what callers do.
+type Burden struct {
 	Routes   []string // one group behind each
 	Sessions int
 	Rate     float64 // queries a second, all sessions together
@@ -66,7 +66,7 @@
 
 // Run is one run of the callers.
 type Run struct {
-	load    Load
+	burden  Burden
 	c       *http.Client
 	began   time.Time
 	mu      sync.Mutex
@@ -77,24 +77,24 @@
 }
 
 // New makes a run.
-func New(l Load) *Run {
-	return &Run{load: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{},
+func New(l Burden) *Run {
+	return &Run{burden: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{},
 		c: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 }
 
 func nowUs() int64 { return time.Now().UnixMicro() }
 
-// Go sends the load until the context ends, then waits for what is under way.
+// Go sends the burden until the context ends, then waits for what is under way.
 func (r *Run) Go(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, rt := range r.load.Routes {
+	for _, rt := range r.burden.Routes {
 		wg.Go(func() { r.tick(ctx, rt) })
 	}
-	per := time.Duration(float64(time.Second) * float64(r.load.Sessions) / r.load.Rate)
-	for i := range r.load.Sessions {
+	per := time.Duration(float64(time.Second) * float64(r.burden.Sessions) / r.burden.Rate)
+	for i := range r.burden.Sessions {
 		wg.Go(func() {
-			rnd := rand.New(rand.NewPCG(r.load.Seed, uint64(i)))
-			s := &session{r: r, name: fmt.Sprintf("s%d-%d", r.load.Seed, i), route: r.load.Routes[i%len(r.load.Routes)], rnd: rnd}
+			rnd := rand.New(rand.NewPCG(r.burden.Seed, uint64(i)))
+			s := &session{r: r, name: fmt.Sprintf("s%d-%d", r.burden.Seed, i), route: r.burden.Routes[i%len(r.burden.Routes)], rnd: rnd}
 			next := time.Now().Add(time.Duration(rnd.Int64N(int64(per))))
 			for pause(ctx, time.Until(next)) {
 				s.one(ctx)
@@ -121,7 +121,7 @@
 
 // tick adds one to a row over and over; how far it is tells how fresh a read is.
 func (r *Run) tick(ctx context.Context, route string) {
-	s := &session{r: r, name: "tick-" + route, route: route, rnd: rand.New(rand.NewPCG(r.load.Seed, 1<<40))}
+	s := &session{r: r, name: "tick-" + route, route: route, rnd: rand.New(rand.NewPCG(r.burden.Seed, 1<<40))}
 	for pause(ctx, 50*time.Millisecond) {
 		v, ok := s.ask(ctx, "tick", query{Class: "reserve", Statements: stmts("add ticks t 1")})
 		if ok && v.Outcome == result.Done {
@@ -185,7 +185,7 @@
 // open has a session on some ready node, with the token of the last one.
 func (s *session) open(ctx context.Context) bool {
 	for n := 0; ctx.Err() == nil && n < 50; n++ {
-		ns := s.r.load.Nodes()
+		ns := s.r.burden.Nodes()
 		if len(ns) == 0 {
 			pause(ctx, 100*time.Millisecond)
 			continue
--- a/standin/databasecopy/copy.go
+++ b/standin/databasecopy/copy.go
@@ -280,25 +280,25 @@
 // Connections is how many are open.
 func (c *Copy) Connections() int { return len(c.conns) }
 
-// Refusals of a whole run: nothing of it took effect.
+// Bounces of a whole run: nothing of it took effect.
 const (
-	RefusedConnection = "connection"
-	RefusedEpoch      = "epoch"
-	RefusedRole       = "role"
+	BouncedConnection = "connection"
+	BouncedEpoch      = "epoch"
+	BouncedRole       = "role"
 )
 
 // Run runs ops in order and stops behind the first that fails.
-func (c *Copy) Run(id int64, epoch uint64, ops []Op, readOnly bool, atUs int64) (rs []Result, refused string) {
+func (c *Copy) Run(id int64, epoch uint64, ops []Op, readOnly bool, atUs int64) (rs []Result, bounced string) {
 	n := c.conns[id]
 	if n == nil {
-		return nil, RefusedConnection
+		return nil, BouncedConnection
 	}
 	n.usedUs = atUs
 	if epoch != c.Epoch {
-		return nil, RefusedEpoch
+		return nil, BouncedEpoch
 	}
 	if c.role() == "sealed" {
-		return nil, RefusedRole
+		return nil, BouncedRole
 	}
 	for _, o := range ops {
 		r := c.op(n, o, readOnly, atUs)
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -34,7 +34,7 @@
 
 // RunReturn is its return.
 type RunReturn struct {
-	Refused string   `json:"refused,omitempty"`
+	Bounced string   `json:"refused,omitempty"`
 	Results []Result `json:"results,omitempty"`
 	Epoch   uint64   `json:"epoch"`
 	Applied int64    `json:"applied"`
@@ -144,7 +144,7 @@
 
 func nowUs() int64 { return time.Now().UnixMicro() }
 
-// Serve answers on the listener until the context ends.
+// Serve serves on the listener until the context ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/status", s.status)
@@ -278,7 +278,7 @@
 	if s.c.Received() != had {
 		err = s.keep(had, false)
 	}
-	out := RunReturn{Refused: ref, Results: rs, Epoch: s.c.Epoch, Applied: s.c.Applied(), AtUs: nowUs()}
+	out := RunReturn{Bounced: ref, Results: rs, Epoch: s.c.Epoch, Applied: s.c.Applied(), AtUs: nowUs()}
 	lost := s.faults.LoseReturns > 0
 	if lost {
 		s.faults.LoseReturns--
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -313,8 +313,8 @@
 	return nil
 }
 
-// Settings is one partner's configuration.
-func (f *Fleet) Settings(pt Part) map[string]any {
+// Configuration is one partner's configuration.
+func (f *Fleet) Configuration(pt Part) map[string]any {
 	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
 	for i, g := range pt.Groups {
 		var ms []string
@@ -411,7 +411,7 @@
 		}
 	}
 	for _, pt := range f.Shape.Parts {
-		b, err := json.Marshal(f.Settings(pt))
+		b, err := json.Marshal(f.Configuration(pt))
 		if err != nil {
 			return err
 		}
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -40,14 +40,14 @@
 }
 
 // TestProcessesThroughATakeover runs the small shape as real processes: the
-// primary is killed under load, and the run goes on until writes are
+// primary is killed under burden, and the run goes on until writes are
 // acknowledged again; then the old primary and an emptied control process come
 // back, and what callers were told is held against what the databases hold.
 func TestProcessesThroughATakeover(t *testing.T) {
 	ctx, f := started(t, 4)
 	lctx, end := context.WithCancel(ctx)
 	defer end()
-	r := callers.New(callers.Load{Routes: f.Routes(), Sessions: 20, Rate: 60, Seed: 1, Nodes: f.Nodes})
+	r := callers.New(callers.Burden{Routes: f.Routes(), Sessions: 20, Rate: 60, Seed: 1, Nodes: f.Nodes})
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Go(lctx) })
 	route := f.Routes()[0]
@@ -75,7 +75,7 @@
 	acked(time.Now().UnixMicro())
 	do("start", old)
 	do("wipe", "control-2")
-	// The emptied voter votes again once both others have answered it.
+	// The emptied voter votes again once both others have replied to it.
 	if err := fleet.Until(ctx, time.Minute, func() error { return f.Ready(ctx, "control-2") }); err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +100,7 @@
 	if v.Acked < 10 || done < 50 {
 		t.Errorf("only %d writes were acknowledged and %d queries done: the run shows little", v.Acked, done)
 	}
-	s, err := f.Operators("pharmacies").Settings(ctx, false)
+	s, err := f.Operators("pharmacies").Configuration(ctx, false)
 	if err != nil || s.Code != result.OK || s.Revision != 1 {
 		t.Errorf("the configuration reads back as %d revision %d (%v)", s.Code, s.Revision, err)
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -54,7 +54,7 @@
 	return nil
 }
 
-// Down refuses connections, as a machine does on which nobody listens.
+// Down bounces connections, as a machine does on which nobody listens.
 func (k *Link) Down() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -46,7 +46,7 @@
 	Members []databaseclient.Member `json:"members"`
 }
 
-// Serve answers until the context ends.
+// Serve serves until the context ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/takeover", s.takeover)
@@ -135,14 +135,14 @@
 }
 
 // takeover promotes the target and has the others follow it. It is idempotent
-// and refuses an epoch below the highest asked for, or another target in it.
+// and bounces an epoch below the highest asked for, or another target in it.
 func (s *Server) takeover(w http.ResponseWriter, r *http.Request) {
 	var t takeover
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	refuse := func(why string) {
+	bounce := func(why string) {
 		w.WriteHeader(http.StatusConflict)
 		json.NewEncoder(w).Encode(map[string]string{"error": why})
 	}
@@ -153,23 +153,23 @@
 	}
 	s.mu.Unlock()
 	if t.Epoch < e {
-		refuse("a later epoch was asked for")
+		bounce("a later epoch was asked for")
 		return
 	}
 	if t.Epoch == e && o != t.Target {
-		refuse("another target was asked for in this epoch")
+		bounce("another target was asked for in this epoch")
 		return
 	}
 	i := slices.IndexFunc(t.Members, func(m databaseclient.Member) bool { return m.Name == t.Target })
 	if i < 0 {
-		refuse("the target is not among the members")
+		bounce("the target is not among the members")
 		return
 	}
 	ctx, stop := context.WithTimeout(r.Context(), time.Second)
 	defer stop()
 	addr := t.Members[i].Address
 	if err := databasecopy.Call(ctx, "http://"+addr+"/v1/promote", map[string]any{"epoch": t.Epoch}, nil); err != nil {
-		refuse(err.Error())
+		bounce(err.Error())
 		return
 	}
 	var wg sync.WaitGroup
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -1,4 +1,4 @@
-// Command run-fleet starts a whole fleet on this machine, sends it a load,
+// Command run-fleet starts a whole fleet on this machine, puts a burden on it,
 // brings faults about and prints what callers saw as JSON. It exits with 1 if
 // anything happened that must never happen.
 package main
@@ -61,7 +61,7 @@
 
 func main() {
 	c := &cli.Command{
-		Name: "run-fleet", Usage: "start a fleet, load it, break it and report",
+		Name: "run-fleet", Usage: "start a fleet, burden it, break it and report",
 		Description: "Run it from the project's root. Actions of --faults:\n" + actions(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "shape", Value: "small", Usage: strings.Join(slices.Sorted(maps.Keys(fleet.Shapes)), ", ")},
@@ -71,7 +71,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.StringFlag{Name: "faults", Usage: "AT:ACTION:TARGET[:VALUE], separated by commas; a target is a process, primary@GROUP or replica@GROUP"},
 			&cli.StringFlag{Name: "folder", Usage: "where boot files, logs and data go (default: a new one, removed at the end unless something is wrong)"},
-			&cli.BoolFlag{Name: "hold", Usage: "send no load; keep the fleet up until interrupted and print how to reach it"},
+			&cli.BoolFlag{Name: "hold", Usage: "send no burden; keep the fleet up until interrupted and print how to reach it"},
 		},
 		Action: run,
 	}
@@ -161,7 +161,7 @@
 			}
 		}
 	}()
-	r := callers.New(callers.Load{Routes: f.Routes(), Sessions: ses, Rate: rate, Seed: c.Uint64("seed"),
+	r := callers.New(callers.Burden{Routes: f.Routes(), Sessions: ses, Rate: rate, Seed: c.Uint64("seed"),
 		Nodes: func() []string { mu.Lock(); defer mu.Unlock(); return nodes }})
 	began := time.Now()
 	var wg sync.WaitGroup
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -22,10 +22,10 @@
 const (
 	pollEvery     = 200_000
 	askExpiry     = 1_500_000
-	suspectAfter  = 700_000   // the primary answered none of the holder's polls so long
+	suspectAfter  = 700_000   // the primary replied to none of the holder's polls so long
 	aloneAfter    = 2_000_000 // the same where no pool node reports at all
 	sealEvery     = 150_000
-	thirdGrace    = 300_000 // a third copy that answers is waited for so long
+	thirdGrace    = 300_000 // a third copy that replies is waited for so long
 	platformEvery = 400_000
 	sayEvery      = 5_000_000
 	switchEvery   = 3_000_000
@@ -126,7 +126,7 @@
 // New makes a group's decider.
 func New() *Group { return &Group{m: map[string]*member{}, asks: map[uint64]ask{}} }
 
-// Said takes a database's answer.
+// Said takes a database's return.
 func (g *Group) Said(now int64, id uint64, err bool, s Status) {
 	a, ok := g.asks[id]
 	delete(g.asks, id)
@@ -388,7 +388,7 @@
 func worse(st *schema.GroupState, name string, s Status) bool { return name == st.Avoid || s.Leaving }
 
 // Well says why the group could not bear the loss of a copy now, "" if it
-// could: all members answer, as agreed, in the open epoch.
+// could: all members reply, as agreed, in the open epoch.
 func (g *Group) Well(now int64, st *schema.GroupState) string {
 	if st.Phase != schema.Phase_OPEN {
 		return "a takeover is under way"
@@ -396,7 +396,7 @@
 	for _, a := range st.Members {
 		m := g.m[a.Database]
 		if m == nil || !m.known || m.failing > 0 {
-			return a.Database + " does not answer"
+			return a.Database + " does not reply"
 		}
 		if m.status.Identity != a.Identity || m.status.Epoch != st.Epoch || m.status.LogEpoch != st.Epoch {
 			return a.Database + " has not caught up"
@@ -425,7 +425,7 @@
 		if p.start > c.since && c.failing == 0 && c.status.Epoch == in.State.Epoch && c.status.LogEpoch == in.State.Epoch && c.status.Received >= p.status.Received {
 			n := proto.Clone(in.State).(*schema.GroupState)
 			n.Members[i].Identity = c.status.Identity
-			g.say(result.MemberAdmitted, "%s at %d", m.Database, c.status.Received)
+			g.say(result.MemberAllowed, "%s at %d", m.Database, c.status.Received)
 			g.put(now, in.Rev, n)
 			return
 		}
--- a/whatif/whatif.go
+++ b/whatif/whatif.go
@@ -1,4 +1,4 @@
-// Package whatif answers what-if questions by running the daemons' own cores
+// Package whatif works out what-if questions by running the daemons' own cores
 // in the seeded simulation, with and without what is asked about.
 package whatif
 
@@ -19,7 +19,7 @@
 	"stoneford/standin/checker"
 )
 
-// Case is a deployment and its load.
+// Case is a deployment and its burden.
 type Case struct {
 	Plan simulation.Plan
 	Rate float64 // queries a second
@@ -52,7 +52,7 @@
 zone ZONE gone         every process and database in a zone
 half the connections   or: connections N
 replication lags 2 s   or: 300 ms
-load x4                so many times the queries
+burden x4              so many times the queries
 machines N             so many pool nodes
 slow NAME 50 ms        each run of a database takes so much longer
 choice random          reads go to any copy, or: choice least-burden, in place of the least sum
@@ -60,7 +60,7 @@
 
 var (
 	reLag    = regexp.MustCompile(`^replication lags (\d+) ?(s|ms)$`)
-	reLoad   = regexp.MustCompile(`^load x(\d+(?:\.\d+)?)$`)
+	reBurden = regexp.MustCompile(`^burden x(\d+(?:\.\d+)?)$`)
 	reConn   = regexp.MustCompile(`^connections (\d+)$`)
 	reMach   = regexp.MustCompile(`^machines (\d+)$`)
 	reZone   = regexp.MustCompile(`^(?:zone )?(\S+) gone$`)
@@ -81,11 +81,11 @@
 	c := Change{Text: t}
 	connections := func(f func(int32) int32) {
 		c.setup = func(k *Case) error {
-			if k.Plan.Settings == nil {
+			if k.Plan.Configuration == nil {
 				k.Plan.Connections = f(k.Plan.Connections)
 				return nil
 			}
-			cf, ps := settings.ReadConfiguration(k.Plan.Settings)
+			cf, ps := settings.ReadConfiguration(k.Plan.Configuration)
 			if len(ps) > 0 {
 				return errName.New("%s", ps[0])
 			}
@@ -93,16 +93,16 @@
 				d.Connections = f(d.Connections)
 			}
 			b, err := settings.Write(cf)
-			k.Plan.Settings = b
+			k.Plan.Configuration = b
 			return err
 		}
 	}
 	if m := reLag.FindStringSubmatch(t); m != nil {
 		c.event = func(f *simulation.Fleet, _ *Case) error { f.Lag(us(m[1], m[2])); return nil }
-	} else if m := reLoad.FindStringSubmatch(t); m != nil {
+	} else if m := reBurden.FindStringSubmatch(t); m != nil {
 		x, err := strconv.ParseFloat(m[1], 64)
 		if err != nil || x <= 0 {
-			return c, errName.New("%q: not a load", text)
+			return c, errName.New("%q: not a burden", text)
 		}
 		c.setup = func(k *Case) error { k.Rate *= x; return nil }
 	} else if t == "half the connections" {
@@ -202,7 +202,7 @@
 	k.Plan.ThinkUs = int64(float64(k.Plan.Sessions) / k.Rate * 1e6)
 	f := simulation.NewFleet(k.Plan)
 	f.Quiet = true
-	f.PutSettings(nil)
+	f.PutConfiguration(nil)
 	f.Run(f.Now + 3_000_000)
 	f.Callers()
 	f.Run(f.Now + k.AtUs)
@@ -256,16 +256,16 @@
 
 func (s Spread) String() string { return fmt.Sprintf("%.4g (%.4g to %.4g)", s.Median, s.Min, s.Max) }
 
-// Answer holds the figures of all seeds.
-type Answer struct {
+// Return holds the figures of all seeds.
+type Return struct {
 	Asked []string  `json:"asked"`
 	Seeds []uint64  `json:"seeds"`
 	Runs  []Figures `json:"runs"`
 }
 
 // Ask runs a case over seeds.
-func Ask(k Case, cs []Change, seeds []uint64) (Answer, error) {
-	a := Answer{Seeds: seeds, Runs: make([]Figures, len(seeds))}
+func Ask(k Case, cs []Change, seeds []uint64) (Return, error) {
+	a := Return{Seeds: seeds, Runs: make([]Figures, len(seeds))}
 	for _, c := range cs {
 		a.Asked = append(a.Asked, c.Text)
 	}
@@ -284,6 +284,6 @@
 }
 
 // Of sums one figure over the seeds.
-func (a Answer) Of(f func(Figures) float64) Spread {
+func (a Return) Of(f func(Figures) float64) Spread {
 	return spread(lo.Map(a.Runs, func(g Figures, _ int) float64 { return f(g) }))
 }
--- a/whatif/whatif_test.go
+++ b/whatif/whatif_test.go
@@ -4,13 +4,13 @@
 	"testing"
 )
 
-// TestAnswers: what is asked about shows in the figures as it must, on a small
+// TestWhatIf: what is asked about shows in the figures as it must, on a small
 // deployment and two seeds.
-func TestAnswers(t *testing.T) {
+func TestWhatIf(t *testing.T) {
 	k := Examples["pharmacies"]
 	k.Plan.Machines, k.Plan.Groups, k.Plan.Sessions, k.Rate = 3, []string{"inventory-1"}, 30, 60
 	k.AtUs, k.ForUs = 2_000_000, 5_000_000
-	ask := func(ts ...string) Answer {
+	ask := func(ts ...string) Return {
 		t.Helper()
 		var cs []Change
 		for _, x := range ts {
@@ -44,8 +44,8 @@
 	if a := ask("replication lags 20 s"); a.Of(age).Max > 1_500_000 || a.Of(func(f Figures) float64 { return f.Served }).Min < 0.9 {
 		t.Errorf("with a lag of 20 s: age %v, %+v", a.Of(age), a.Runs)
 	}
-	if a := ask("load x3"); a.Of(queries).Min < 1.5*is.Of(queries).Max {
-		t.Errorf("three times the load gives %v queries of %v", a.Of(queries), is.Of(queries))
+	if a := ask("burden x3"); a.Of(queries).Min < 1.5*is.Of(queries).Max {
+		t.Errorf("three times the burden gives %v queries of %v", a.Of(queries), is.Of(queries))
 	}
 	if a := ask("iasi gone", "half the connections"); a.Of(func(f Figures) float64 { return f.Served }).Min < 0.8 {
 		t.Errorf("with a zone gone: %+v", a.Runs)
