--- a/simulation/bookings_test.go
+++ b/simulation/bookings_test.go
@@ -38,7 +38,7 @@
 func TestPlannedMoves(t *testing.T) {
 	each(12, 0, func(seed uint64) {
 		p := plan(seed)
-		p.Groups, p.ThinkUs = []string{"inventory-1"}, 400_000
+		p.With, p.ThinkUs = nil, 400_000
 		f := simulation.NewFleet(p)
 		f.PutConfiguration(nil)
 		f.Run(3_000_000)
@@ -71,7 +71,7 @@
 						killed = true
 						k := f.Holder("pharmacies/inventory-1")
 						f.KillControl(k)
-						f.After(8_000_000, func() { f.StartControl(k, false) })
+						f.After(8_000_000, func() { f.StartControl(k) })
 					}
 				}
 				if state == bookings.Failed || state == bookings.Missed {
@@ -103,7 +103,7 @@
 // once do not both get the time.
 func TestCalendarKeepsItsRules(t *testing.T) {
 	p := plan(3)
-	p.Groups, p.Sessions, p.Machines = []string{"inventory-1"}, 0, 6
+	p.With, p.Sessions, p.Machines = nil, 0, 6
 	f := simulation.NewFleet(p)
 	f.PutConfiguration(nil)
 	f.Run(4_000_000)
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
+	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/language"
 	"stoneford/pool"
@@ -13,22 +15,31 @@
 	"stoneford/schema"
 )
 
-// KillControl ends a control process; StartControl starts it on its disk, or
-// on an empty one.
-func (f *Fleet) KillControl(i int) { f.Controls[i].up = false }
+// KillControl ends a control process.
+func (f *Fleet) KillControl(i int) {
+	c := f.Controls[i]
+	if f.Chance(0.5) { // what was being synced may have reached the disk
+		c.disk = append(c.disk, c.unsynced...)
+	}
+	c.up, c.unsynced = false, nil
+}
 
-// StartControl starts a control process again.
-func (f *Fleet) StartControl(i int, empty bool) {
-	if empty {
-		f.Controls[i].disk = nil
+// LoseDisk ends a control process and its disk with it.
+func (f *Fleet) LoseDisk(i int) { f.KillControl(i); f.Controls[i].disk = nil }
+
+// StartControl starts a control process again, if it is down, on what its disk
+// holds.
+func (f *Fleet) StartControl(i int) {
+	if !f.Controls[i].up {
+		f.startControl(f.Controls[i])
 	}
-	f.startControl(f.Controls[i])
 }
 
 // StopControl stops a control process as its daemon does on SIGTERM.
 func (f *Fleet) StopControl(i int) {
 	c := f.Controls[i]
 	f.toControl(c, c.gen, control.Stop{})
+	c.leaving = true
 	g := c.gen
 	f.After(1_000_000, func() {
 		if c.gen == g {
@@ -65,15 +76,6 @@
 	})
 }
 
-func (l *life) resume(f *Fleet) {
-	l.paused = false
-	hs := l.held
-	l.held = nil
-	for _, h := range hs {
-		f.After(0, h)
-	}
-}
-
 // PauseNode freezes a pool node, ResumeNode lets it go on.
 func (f *Fleet) PauseNode(i int)  { f.Nodes[i].paused = true }
 func (f *Fleet) ResumeNode(i int) { f.Nodes[i].resume(f) }
@@ -138,11 +140,14 @@
 func (f *Fleet) Deaf(group string, deaf bool) {
 	for _, n := range f.Cf.Groups[group].Members {
 		if !f.DBs[n].c.Primary {
-			f.DBs[n].noTake = deaf
+			f.DBs[n].Deaf(deaf)
 		}
 	}
 }
 
+// Deaf has one copy receive nothing, or again.
+func (d *DB) Deaf(deaf bool) { d.noTake = deaf }
+
 // Leave has the primary of a group announce that it leaves.
 func (f *Fleet) Leave(group string) {
 	if p := f.Primary(group); p != nil {
@@ -192,13 +197,14 @@
 // Heal mends the network and brings every process back.
 func (f *Fleet) Heal() {
 	f.Net.Mend()
-	f.Net.Drop, f.Net.Double = 0, 0
+	f.Net.Drop, f.Net.Double, f.PlatformUs, f.PlatformFails = 0, 0, 5_000, 0
 	for i, c := range f.Controls {
 		if !c.up {
-			f.StartControl(i, false)
+			f.StartControl(i)
 		} else if c.paused {
 			f.ResumeControl(i)
 		}
+		c.slowUs, c.syncUs = 0, 0
 	}
 	for i, n := range f.Nodes {
 		if !n.up {
@@ -206,6 +212,7 @@
 		} else if n.paused {
 			f.ResumeNode(i)
 		}
+		n.slowUs = 0
 	}
 	for _, g := range f.Plan.Groups {
 		for _, n := range f.Cf.Groups[g].Members {
@@ -246,7 +253,7 @@
 		if !c.up || c.paused {
 			continue
 		}
-		st := control.GroupState(c.core.Held(control.GroupPrefix + f.partner + "/" + g))
+		st := control.GroupState(c.core.Held(control.GroupPrefix + f.owner[g] + "/" + g))
 		if st.Epoch == p.c.Epoch {
 			for _, m := range st.Members {
 				ids[m.Database] = m.Identity
@@ -264,7 +271,7 @@
 
 func (f *Fleet) controlsWell() bool {
 	for _, c := range f.Controls {
-		if !c.up || c.paused || !c.core.Votes() {
+		if !c.up || c.paused || c.leaving || !c.core.Votes() {
 			return false
 		}
 	}
@@ -281,7 +288,7 @@
 	d := f.DBs[db]
 	ni, ci := f.R.IntN(len(f.Nodes)), f.R.IntN(3)
 	n := f.Nodes[ni]
-	k := f.R.IntN(20)
+	k := f.R.IntN(faultKinds)
 	if k < 9 && !f.groupWell(g) {
 		return
 	}
@@ -343,11 +350,11 @@
 			f.say("fault: kill %s", f.Controls[ci].boot.Name)
 			f.KillControl(ci)
 		}
-		later(1_100_000, 6_000_000, func() { f.StartControl(ci, false) })
+		later(1_100_000, 6_000_000, func() { f.StartControl(ci) })
 	case 10:
 		f.say("fault: lose the disk of %s", f.Controls[ci].boot.Name)
-		f.KillControl(ci)
-		later(300_000, 6_000_000, func() { f.StartControl(ci, true) })
+		f.LoseDisk(ci)
+		later(300_000, 6_000_000, func() { f.StartControl(ci) })
 	case 11:
 		f.say("fault: freeze %s", f.Controls[ci].boot.Name)
 		f.PauseControl(ci)
@@ -373,7 +380,10 @@
 			}
 		})
 	case 16:
-		a := []string{n.boot.Listen, f.Controls[ci].boot.Listen}[f.R.IntN(2)]
+		a := n.boot.Listen
+		if f.controlsWell() && f.Chance(0.5) {
+			a = f.Controls[ci].boot.Listen
+		}
 		f.say("fault: isolate %s", a)
 		f.Isolate(a, f.Chance(0.5))
 		later(300_000, 6_000_000, f.Net.Mend)
@@ -383,13 +393,213 @@
 		later(500_000, 5_000_000, func() { f.Net.Drop, f.Net.Double = 0, 0 })
 	case 18, 19:
 		f.operators()
+	case 20:
+		f.say("fault: a crowd")
+		f.Crowd(4, f.Between(2_000_000, 5_000_000))
+	case 21, 22:
+		z, share := "", 0.4
+		if f.Chance(0.5) {
+			z, share = f.Plan.Zones[f.R.IntN(len(f.Plan.Zones))], 1
+		}
+		f.say("fault: callers move to other zones (%s)", z)
+		f.MoveCallers(z, share)
+	case 23:
+		f.say("fault: %s has a slow machine", n.boot.Name)
+		n.slowUs = f.Between(5_000, 80_000)
+		later(1_000_000, 6_000_000, func() { n.slowUs = 0 })
+	case 24:
+		c := f.Controls[ci]
+		if !f.controlsWell() {
+			return
+		}
+		f.say("fault: %s has a slow machine and disk", c.boot.Name)
+		c.slowUs, c.syncUs = f.Between(0, 40_000), f.Between(5_000, 200_000)
+		later(1_000_000, 6_000_000, func() { c.slowUs, c.syncUs = 0, 0 })
+	case 25, 26:
+		f.machineLost(ci)
+	case 27:
+		if len(f.Nodes) < f.Plan.Machines+3 {
+			f.say("fault: a machine joins")
+			f.Join()
+		}
+	case 28:
+		if !f.rolling {
+			f.say("fault: every node is restarted in turn")
+			f.rolling = true
+			f.rollNodes(0)
+		}
+	case 29:
+		if !f.rolling {
+			f.say("fault: every control process is restarted in turn")
+			f.rolling = true
+			f.rollControls(0)
+		}
+	case 30:
+		f.say("fault: %s is replaced copy by copy", g)
+		f.replaceAll(g, 0)
+	case 31:
+		f.say("fault: every primary goes at once")
+		for _, g := range f.Plan.Groups {
+			if !f.groupWell(g) {
+				continue
+			}
+			p := f.Primary(g)
+			if f.Chance(0.5) {
+				f.KillDB(p.name)
+				later(2_000_000, 6_000_000, func() { f.StartDB(p.name) })
+			} else {
+				p.dark = true
+				later(2_000_000, 6_000_000, func() { p.dark = false })
+			}
+		}
+	case 32:
+		f.say("fault: the platform is slow and does not do all")
+		f.PlatformUs, f.PlatformFails = f.Between(100_000, 3_000_000), 0.5
+		later(2_000_000, 6_000_000, func() { f.PlatformUs, f.PlatformFails = 5_000, 0 })
+	case 33, 34, 35:
+		f.randomBooking(g)
+	}
+}
+
+const faultKinds = 36
+
+// machineLost ends a disk machine whole, its control process and its pool node,
+// with or without its disk; often one database of each group goes with it.
+func (f *Fleet) machineLost(i int) {
+	if !f.controlsWell() {
+		return
+	}
+	empty, dbs := f.Chance(0.5), f.Chance(0.5)
+	f.say("fault: machine %d is lost, disk lost: %v, databases: %v", i+1, empty, dbs)
+	later := func(do func()) { f.After(f.Between(500_000, 6_000_000), do) }
+	f.KillControl(i)
+	if empty {
+		f.LoseDisk(i)
+	}
+	later(func() { f.StartControl(i) })
+	if n := f.Nodes[i]; n.up && !n.paused && !n.leaving {
+		f.KillNode(i)
+		later(func() {
+			if !n.up {
+				f.StartNode(i)
+			}
+		})
+	}
+	if !dbs {
+		return
+	}
+	for _, g := range f.Plan.Groups {
+		d := f.DBs[f.Cf.Groups[g].Members[f.R.IntN(3)]]
+		if !f.groupWell(g) {
+			continue
+		}
+		f.KillDB(d.name)
+		later(func() {
+			if empty {
+				f.LoseDB(d.name)
+			} else {
+				f.StartDB(d.name)
+			}
+		})
+	}
+}
+
+// rollNodes restarts nodes one after another from the i-th on.
+func (f *Fleet) rollNodes(i int) {
+	if i == len(f.Nodes) || f.halted {
+		f.rolling = false
+		return
+	}
+	n := f.Nodes[i]
+	if !n.up || n.paused || n.leaving {
+		f.rollNodes(i + 1)
+		return
 	}
+	f.StopNode(i)
+	f.After(3_600_000, func() {
+		if !n.up {
+			f.StartNode(i)
+		}
+		f.After(f.Between(100_000, 1_000_000), func() { f.rollNodes(i + 1) })
+	})
+}
+
+// rollControls restarts control processes one after another, each once all vote.
+func (f *Fleet) rollControls(i int) {
+	if i == len(f.Controls) || f.halted {
+		f.rolling = false
+		return
+	}
+	if !f.controlsWell() {
+		f.After(200_000, func() { f.rollControls(i) })
+		return
+	}
+	f.StopControl(i)
+	f.After(1_100_000, func() {
+		f.StartControl(i)
+		f.rollControls(i + 1)
+	})
+}
+
+// replaceAll replaces each copy of a group, one after another, each once the
+// group could bear it.
+func (f *Fleet) replaceAll(g string, i int) {
+	switch {
+	case i == 3 || f.halted:
+	case !f.groupWell(g):
+		f.After(200_000, func() { f.replaceAll(g, i) })
+	default:
+		db := f.Cf.Groups[g].Members[i]
+		f.KillDB(db)
+		f.After(f.Between(50_000, 1_000_000), func() {
+			f.LoseDB(db)
+			f.After(300_000, func() { f.replaceAll(g, i+1) })
+		})
+	}
+}
+
+// randomBooking has one partner book a move for this very minute; the one who
+// does not own it tries to confirm it, and then its owner does.
+func (f *Fleet) randomBooking(g string) {
+	owner, who := f.owner[g], f.Partners()[f.R.IntN(len(f.texts))]
+	db := f.Cf.Groups[g].Members[f.R.IntN(3)]
+	what := fmt.Sprintf("%s for %s", db, []string{bookings.Replacement, bookings.Switch}[f.R.IntN(2)])
+	if f.Chance(0.2) {
+		n := f.Nodes[f.R.IntN(len(f.Nodes))].boot
+		owner, what = n.Partner, n.Name+" for stop"
+	}
+	c := f.Controls[f.R.IntN(3)]
+	f.say("%s books %s", who, what)
+	f.Type(c, who, "book "+what+" at "+time.UnixMicro(f.Now).UTC().Format("2006-01-02 15:04"), func(a control.Told) {
+		if a.Code != result.OK || len(a.Bookings) != 1 {
+			f.say("it is told %d %s", a.Code, a.Text)
+			return
+		}
+		f.booked++
+		id := a.Bookings[0].Id
+		confirm := func(p string, then func()) {
+			f.Type(c, p, fmt.Sprintf("confirm booking %d", id), func(a control.Told) {
+				if p != owner && a.Code == result.OK {
+					f.Bad("%s confirmed a booking that belongs to %s", p, owner)
+				}
+				then()
+			})
+		}
+		other := f.Partners()[0]
+		if other == owner {
+			other = f.Partners()[len(f.texts)-1]
+		}
+		confirm(other, func() { confirm(owner, func() {}) })
+	})
 }
 
 // operators race: two send changes based on the same revision, one of them
 // perhaps with an error in it, from different control processes.
 func (f *Fleet) operators() {
-	base := f.Truth.accepted.Revision
+	p := f.Partners()[f.R.IntN(len(f.texts))]
+	base := f.Truth.accepted[p].Revision
+	g := f.Plan.Groups[slices.IndexFunc(f.Plan.Groups, func(g string) bool { return f.owner[g] == p })]
+	accepted := 0
 	for i := range 2 {
 		c := f.Controls[f.R.IntN(3)]
 		if !c.up {
@@ -397,23 +607,32 @@
 		}
 		line := 300 + f.R.IntN(300)
 		good := f.Chance(0.7)
-		text := fmt.Sprintf(`{"routes":{"%s":{"line":%d}}}`, f.Plan.Groups[0], line)
+		text := fmt.Sprintf(`{"routes":{"%s":{"line":%d}}}`, g, line)
 		if !good {
-			text = fmt.Sprintf(`{"routes":{"%s":{"line":0,"group":"nowhere"}}}`, f.Plan.Groups[0])
+			text = fmt.Sprintf(`{"routes":{"%s":{"line":0,"group":"nowhere"}}}`, g)
 		}
-		f.say("operator %d sends a change on revision %d", i, base)
+		f.say("operator %d of %s sends a change on revision %d", i, p, base)
 		f.Operate(c, func(id uint64) any {
-			return control.PutConfiguration{ID: id, Partner: f.partner, Base: base, Patch: true, Text: []byte(text)}
+			e := control.PutConfiguration{ID: id, Partner: p, Base: base, Patch: true, Text: []byte(text)}
+			switch {
+			case f.Plan.Plant == UncheckedChange && !good:
+				e.Text = []byte(`{"time_zone":"UTC"}`)
+			case f.Plan.Plant == RebasedChange:
+				e.Base = f.Truth.accepted[p].Revision
+			}
+			return e
 		}, func(r control.Return) {
 			f.say("operator %d hears %d revision %d", i, r.Code, r.Revision)
-			switch {
-			case r.Code == result.OK && !good:
+			if r.Code != result.OK {
+				return
+			}
+			if !good {
 				f.Bad("an invalid configuration was accepted")
-			case r.Code == result.OK && r.Revision <= f.Truth.accepted.Revision && f.Truth.accepted.Revision > base:
-				f.Bad("two changes on revision %d were both accepted", base)
-			case r.Code == result.OK:
-				f.Truth.configured(r)
 			}
+			if accepted++; accepted > 1 || r.Revision != base+1 {
+				f.Bad("a losing change on revision %d was accepted as revision %d", base, r.Revision)
+			}
+			f.Truth.configured(p, r)
 		})
 	}
 }
@@ -427,7 +646,7 @@
 	for _, g := range f.Plan.Groups {
 		p := f.Primary(g)
 		for _, n := range f.Cf.Groups[g].Members {
-			ps = append(ps, language.Place{Name: n, Partner: f.partner, Group: f.partner + "/" + g, Zone: f.DBs[n].zone, Primary: p == f.DBs[n]})
+			ps = append(ps, language.Place{Name: n, Partner: f.owner[g], Group: f.owner[g] + "/" + g, Zone: f.DBs[n].zone, Primary: p == f.DBs[n]})
 		}
 	}
 	return ps
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -1,11 +1,16 @@
 package simulation
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/pool"
 	"stoneford/querytable"
@@ -20,11 +25,14 @@
 	Seed          uint64
 	Partner       string // default pharmacies
 	Configuration []byte // a configuration as operators send it; without one it is made of Groups, Zones and Connections
+	With          []Part // further partners on the same pool
 	Machines      int
 	Groups        []string
 	Zones         []string
 	Connections   int32
 	Sessions      int
+	TickUs        int64 // pause between two ticks of a group, 0 for 50 ms
+	DayUs         int64 // length of a day whose curve the callers follow, 0 for none
 	ThinkUs       int64 // mean pause of a session between two things it does
 	ServiceUs     int64 // mean time of a run
 	Servers       int   // runs a database works on at once
@@ -36,6 +44,12 @@
 	Plant         Plant
 }
 
+// Part is one more partner and its groups, whose names must be its own.
+type Part struct {
+	Partner string
+	Groups  []string
+}
+
 // Plant is a fault put into the harness around the cores, to show that the
 // checks see it.
 type Plant int
@@ -47,23 +61,22 @@
 	UnsealedTakeover        // a seal is confirmed without sealing
 	TornSession             // a connection is said to be reset and is not
 	UnheardLeaving          // tables are not told that a database leaves
+	TokenForgotten          // a session is opened without its token
+	UncheckedChange         // an invalid change passes for a valid one
+	RebasedChange           // a losing change is based anew on the newest revision
+	PlatformUnasked         // the platform replaces a copy as soon as it is drained
 )
 
 type controlProc struct {
-	boot *schema.Boot
-	core *control.Core
-	disk []*schema.VoterLog
+	boot     *schema.Boot
+	core     *control.Core
+	disk     []*schema.VoterLog
+	unsynced []*schema.VoterLog
+	syncUs   int64 // a sync of the disk takes so long
+	leaving  bool
 	life
 }
 
-// life is a process's standing; gen tells one run of it from the next.
-type life struct {
-	up     bool
-	paused bool
-	gen    int
-	held   []func() // what came while it was frozen
-}
-
 type nodeProc struct {
 	f       *Fleet
 	boot    *schema.Boot
@@ -82,9 +95,11 @@
 type Fleet struct {
 	*World
 	Plan     Plan
-	Cf       *schema.Configuration
-	partner  string
-	class    map[string]string // a class's name by its kind
+	Cf       *schema.Configuration        // all partners' together
+	owner    map[string]string            // a group's partner
+	texts    map[string][]byte            // configurations as operators send them, by partner
+	class    map[string]map[string]string // a class's name by partner and kind
+	zones    map[string]string            // by address
 	Net      *Network
 	Controls []*controlProc
 	Nodes    []*nodeProc
@@ -101,8 +116,15 @@
 	sessions []*session
 	halted   bool
 	applied  map[string]uint64 // per node and key, over restarts
-	// PlatformUs is the longest the platform takes to carry a takeover out.
-	PlatformUs int64
+	// PlatformUs is the longest the platform takes to carry out what it is asked
+	// for, PlatformFails how often it does nothing.
+	PlatformUs    int64
+	PlatformFails float64
+	fewControls   int64 // when fewer than two control processes were last plain
+	crowds        int
+	rolling       bool              // all nodes, or all control processes, are restarted in turn
+	lastTag       map[string]string // newest acknowledged tag by route
+	booked        int               // moves booked by randomFault
 }
 
 // Bad notes something that must never happen.
@@ -122,16 +144,32 @@
 	if p.Partner == "" {
 		p.Partner = "pharmacies"
 	}
-	if p.Configuration == nil {
-		p.Configuration = p.configuration()
-	}
-	cf, ps := settings.ReadConfiguration(p.Configuration)
-	if len(ps) > 0 {
-		panic(fmt.Sprint("simulation: ", ps))
+	p.TickUs = cmp.Or(p.TickUs, 50_000)
+	f := &Fleet{World: w, Cf: &schema.Configuration{}, owner: map[string]string{}, texts: map[string][]byte{}, class: map[string]map[string]string{}, zones: map[string]string{},
+		Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, told: map[uint64]func(control.Told){},
+		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, lastTag: map[string]string{}, PlatformUs: 5_000}
+	parts := append([]Part{{Partner: p.Partner, Groups: p.Groups}}, p.With...)
+	p.Groups = nil
+	for i, pt := range parts {
+		text := p.Configuration
+		if i > 0 || text == nil {
+			text = p.configuration(pt, 3*len(p.Groups))
+		}
+		cf, ps := settings.ReadConfiguration(text)
+		if len(ps) > 0 {
+			panic(fmt.Sprint("simulation: ", ps))
+		}
+		f.texts[pt.Partner], f.class[pt.Partner] = text, map[string]string{}
+		for _, k := range slices.Sorted(maps.Keys(cf.Classes)) {
+			f.class[pt.Partner][cf.Classes[k].Kind] = k
+		}
+		for _, g := range slices.Sorted(maps.Keys(cf.Groups)) {
+			f.owner[g] = pt.Partner
+			p.Groups = append(p.Groups, g)
+		}
+		proto.Merge(f.Cf, cf)
 	}
-	p.Groups = slices.Sorted(maps.Keys(cf.Groups))
-	f := &Fleet{World: w, Plan: p, Cf: cf, partner: p.Partner, class: map[string]string{}, Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, told: map[uint64]func(control.Told){},
-		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, PlatformUs: 5_000}
+	f.Plan = p
 	if p.DelayUs > 0 {
 		f.Net.DelayLo, f.Net.DelayHi = p.DelayUs/10, p.DelayUs
 	}
@@ -141,62 +179,74 @@
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
-	zone := func(i int) string { return p.Zones[i%len(p.Zones)] }
 	for i, a := range seeds {
-		c := &controlProc{boot: &schema.Boot{Name: fmt.Sprintf("control-%d", i+1), Zone: zone(i), Partner: f.partner, Listen: a, Http: a, Seeds: seeds, DataFolder: "x"}}
+		c := &controlProc{boot: &schema.Boot{Name: fmt.Sprintf("control-%d", i+1), Zone: f.zone(i), Partner: parts[i%len(parts)].Partner, Listen: a, Http: a, Seeds: seeds, DataFolder: "x"}}
 		f.Controls = append(f.Controls, c)
+		f.zones[a] = c.boot.Zone
 		f.startControl(c)
 	}
-	for i := range p.Machines {
-		a := fmt.Sprintf("10.0.1.%d:1", i+1)
-		n := &nodeProc{f: f, boot: &schema.Boot{Name: fmt.Sprintf("pool-%d", i+1), Zone: zone(i), Partner: f.partner, Listen: a, Http: a, Seeds: seeds}}
-		f.Nodes = append(f.Nodes, n)
-		f.startNode(n)
+	for range p.Machines {
+		f.Join()
+	}
+	if p.Plant == PlatformUnasked {
+		f.After(0, f.unasked)
 	}
 	for _, g := range p.Groups {
-		for _, m := range cf.Groups[g].Members {
-			f.addDB(m, g, cf.Databases[m].Address, cf.Databases[m].Zone, int(cf.Databases[m].Connections))
+		for _, m := range f.Cf.Groups[g].Members {
+			f.addDB(m, g, f.Cf.Databases[m].Address, f.Cf.Databases[m].Zone, int(f.Cf.Databases[m].Connections))
+			f.zones[f.DBs[m].addr] = f.DBs[m].zone
 		}
 	}
-	zones := map[string]string{}
-	for _, c := range f.Controls {
-		zones[c.boot.Listen] = c.boot.Zone
-	}
-	for _, n := range f.Nodes {
-		zones[n.boot.Listen] = n.boot.Zone
-	}
-	for a, d := range f.byAddr {
-		zones[a] = d.zone
-	}
 	f.Net.Extra = func(a, b string) int64 {
-		if zones[a] == zones[b] {
+		if f.zones[a] == f.zones[b] {
 			return 0
 		}
 		return p.BetweenUs
 	}
-	for _, k := range slices.Sorted(maps.Keys(cf.Classes)) {
-		f.class[cf.Classes[k].Kind] = k
-	}
 	return f
 }
 
-// configuration is one of the plan's groups.
-func (p Plan) configuration() []byte {
+// zone is where the i-th machine of a kind stands.
+func (f *Fleet) zone(i int) string { return f.Plan.Zones[i%len(f.Plan.Zones)] }
+
+// Partners names all partners.
+func (f *Fleet) Partners() []string { return slices.Sorted(maps.Keys(f.texts)) }
+
+// Join has one more machine with a pool node; partners bring them in turn.
+func (f *Fleet) Join() {
+	i := len(f.Nodes)
+	a := fmt.Sprintf("10.0.1.%d:1", i+1)
+	n := &nodeProc{f: f, boot: &schema.Boot{Name: fmt.Sprintf("pool-%d", i+1), Zone: f.zone(i), Partner: f.Partners()[i%len(f.texts)], Listen: a, Http: a, Seeds: f.Controls[0].boot.Seeds}}
+	f.Nodes = append(f.Nodes, n)
+	f.zones[a] = n.boot.Zone
+	f.startNode(n)
+}
+
+// classNames are each partner's own names of the three kinds.
+var classNames = map[string][3]string{"lender": {"disburse", "repayment", "limit"}}
+
+// configuration is one of a partner's groups; its databases are numbered from
+// the number given.
+func (p Plan) configuration(pt Part, from int) []byte {
+	ns, ok := classNames[pt.Partner]
+	if !ok {
+		ns = [3]string{"reserve", "lookup", "pickup"}
+	}
 	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
-	for i, g := range p.Groups {
+	for i, g := range pt.Groups {
 		var ms []string
 		for j := range 3 {
 			n := fmt.Sprintf("%s-%c", g, 'a'+j)
 			ms = append(ms, n)
-			dbs[n] = map[string]any{"address": fmt.Sprintf("10.0.2.%d:1", i*3+j+1), "zone": p.Zones[(i+j)%len(p.Zones)], "connections": p.Connections}
+			dbs[n] = map[string]any{"address": fmt.Sprintf("10.0.2.%d:1", from+i*3+j+1), "zone": p.Zones[(i+j)%len(p.Zones)], "connections": p.Connections}
 		}
 		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
-		rs[g] = map[string]any{"group": g, "classes": []string{"reserve", "lookup", "pickup"}}
+		rs[g] = map[string]any{"group": g, "classes": ns[:]}
 	}
 	b, err := json.Marshal(map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
-		"reserve": map[string]any{"kind": "current"},
-		"lookup":  map[string]any{"kind": "stale", "stale_us": 1_500_000},
-		"pickup":  map[string]any{"kind": "pinned", "stale_us": 2_500_000},
+		ns[0]: map[string]any{"kind": "current"},
+		ns[1]: map[string]any{"kind": "stale", "stale_us": 1_500_000},
+		ns[2]: map[string]any{"kind": "pinned", "stale_us": 2_500_000},
 	}})
 	if err != nil {
 		panic(err)
@@ -207,28 +257,41 @@
 func (f *Fleet) runNumber() uint64 { return uint64(f.Now) }
 
 func (f *Fleet) startControl(c *controlProc) {
-	c.gen++
-	c.up, c.paused, c.held = true, false, nil
+	c.begin()
+	c.unsynced, c.syncUs, c.leaving = nil, 0, false
 	c.core = control.NewCore(c.boot, f.runNumber(), f.R.Uint32())
 	for _, l := range c.disk {
 		c.core.Restore(l)
 	}
-	g := c.gen
-	var tick func()
-	tick = func() {
-		if !c.up || c.gen != g {
-			return
-		}
-		if !c.paused {
-			f.stepControl(c, control.Wall{Us: f.Now})
-		}
-		f.After(20_000, tick)
-	}
-	f.After(f.Between(0, 20_000), tick)
+	f.ticks(&c.life, 20_000, func() { f.stepControl(c, control.Wall{Us: f.Now}) })
 }
 
 func (f *Fleet) stepControl(c *controlProc, evs ...any) {
 	fx := c.core.Step(f.Now, evs...)
+	if c.syncUs == 0 || len(fx.Log) == 0 {
+		f.synced(c, fx)
+		return
+	}
+	// Nothing leaves before the sync has ended, and no other step begins.
+	took := f.Between(c.syncUs/2, c.syncUs*3/2)
+	c.free, c.unsynced = f.Now+took, fx.Log
+	gen := c.gen
+	var end func()
+	end = func() {
+		switch {
+		case !c.up || c.gen != gen:
+		case c.paused:
+			c.held = append(c.held, end)
+		default:
+			c.unsynced = nil
+			f.synced(c, fx)
+		}
+	}
+	f.After(took, end)
+}
+
+// synced keeps what a step logged and does what it asked for.
+func (f *Fleet) synced(c *controlProc, fx control.Effects) {
 	c.disk = append(c.disk, fx.Log...)
 	if len(c.disk) > 300 {
 		c.disk = []*schema.VoterLog{c.core.Snapshot()}
@@ -254,6 +317,9 @@
 			}
 		case control.Replace:
 			f.After(f.Between(500, f.PlatformUs), func() {
+				if f.Chance(f.PlatformFails) {
+					return
+				}
 				if o := f.DBs[d.Database]; o.c.Identity == d.Identity {
 					f.LoseDB(d.Database)
 				}
@@ -261,7 +327,11 @@
 		case control.StopMachine:
 			for i, n := range f.Nodes {
 				if n.boot.Name == d.Machine {
-					f.After(f.Between(500, f.PlatformUs), func() { f.StopNode(i) })
+					f.After(f.Between(500, f.PlatformUs), func() {
+						if !f.Chance(f.PlatformFails) {
+							f.StopNode(i)
+						}
+					})
 				}
 			}
 		case control.Say:
@@ -270,16 +340,21 @@
 	}
 }
 
-// toControl hands an event to a control process, later where it is frozen.
-func (f *Fleet) toControl(c *controlProc, gen int, e any) {
-	if !c.up || c.gen != gen {
-		return
-	}
-	if c.paused {
-		c.held = append(c.held, func() { f.toControl(c, gen, e) })
-		return
+// unasked has the platform replace what a booking drains, if that is planted.
+func (f *Fleet) unasked() {
+	for _, b := range f.Calendar().Bookings {
+		n := strings.TrimPrefix(b.Target, b.Owner+"/")
+		if b.State == bookings.Draining && f.DBs[n] != nil && f.DBs[n].c.Identity == b.Identity {
+			f.LoseDB(n)
+		}
 	}
-	f.stepControl(c, e)
+	f.After(100_000, f.unasked)
+}
+
+// toControl hands an event to a control process, later where it is frozen or
+// slow.
+func (f *Fleet) toControl(c *controlProc, gen int, e any) {
+	f.enter(&c.life, gen, func() { f.stepControl(c, e) })
 }
 
 // Operate puts an operator's event to a control process; done is called unless
@@ -329,7 +404,7 @@
 // platform carries a takeover out as the stand-in does.
 func (f *Fleet) platform(d control.Platform) {
 	f.After(f.Between(500, f.PlatformUs), func() {
-		if d.Epoch < f.plat[d.Group] || d.Epoch == f.plat[d.Group] && f.platT[d.Group] != d.Target {
+		if f.Chance(f.PlatformFails) || d.Epoch < f.plat[d.Group] || d.Epoch == f.plat[d.Group] && f.platT[d.Group] != d.Target {
 			return
 		}
 		f.plat[d.Group], f.platT[d.Group] = d.Epoch, d.Target
@@ -366,43 +441,25 @@
 }
 
 func (f *Fleet) startNode(n *nodeProc) {
-	n.gen++
-	n.up, n.paused, n.held = true, false, nil
+	n.begin()
+	n.trouble = f.Now
 	n.run = f.runNumber()
 	n.core = pool.NewCore(n.boot, n.run)
 	n.tables, n.routes = map[string]*querytable.Table{}, map[string]pool.Route{}
 	n.waiters, n.wanted, n.leftAt = map[uint64]func(querytable.Return){}, map[string]querytable.Wanted{}, map[string]int64{}
-	g := n.gen
-	var tick func()
-	tick = func() {
-		if !n.up || n.gen != g {
-			return
-		}
-		if !n.paused {
-			var said []any
-			for _, k := range slices.Sorted(maps.Keys(n.tables)) {
-				f.stepTable(n, k, querytable.Tick{})
-				_, _, in := n.tables[k].Gauges()
-				said = append(said, pool.TableSaid{Group: k, Views: n.tables[k].Views(f.Now), InUse: in})
-			}
-			f.stepNode(n, said...)
-			f.checkPermits()
+	f.ticks(&n.life, 10_000, func() {
+		var said []any
+		for _, k := range slices.Sorted(maps.Keys(n.tables)) {
+			f.stepTable(n, k, querytable.Tick{})
+			_, _, in := n.tables[k].Gauges()
+			said = append(said, pool.TableSaid{Group: k, Views: n.tables[k].Views(f.Now), InUse: in})
 		}
-		f.After(10_000, tick)
-	}
-	f.After(f.Between(0, 10_000), tick)
+		f.stepNode(n, said...)
+		f.checkPermits()
+	})
 }
 
-func (f *Fleet) toNode(n *nodeProc, gen int, do func()) {
-	if !n.up || n.gen != gen {
-		return
-	}
-	if n.paused {
-		n.held = append(n.held, func() { f.toNode(n, gen, do) })
-		return
-	}
-	do()
-}
+func (f *Fleet) toNode(n *nodeProc, gen int, do func()) { f.enter(&n.life, gen, do) }
 
 func (f *Fleet) stepNode(n *nodeProc, evs ...any) {
 	fx := n.core.Step(f.Now, evs...)
@@ -574,9 +631,15 @@
 	})
 }
 
-// PutConfiguration sends a configuration until it is in force.
+// PutConfiguration sends all partners' configurations until they are accepted.
 func (f *Fleet) PutConfiguration(done func()) {
-	b := f.Plan.Configuration
+	for _, p := range f.Partners() {
+		f.putConfiguration(p, done)
+	}
+}
+
+func (f *Fleet) putConfiguration(partner string, done func()) {
+	b := f.texts[partner]
 	var try func()
 	try = func() {
 		c := f.Controls[f.R.IntN(3)]
@@ -584,12 +647,12 @@
 			f.After(200_000, try)
 			return
 		}
-		f.Operate(c, func(id uint64) any { return control.PutConfiguration{ID: id, Partner: f.partner, Text: b} }, func(r control.Return) {
+		f.Operate(c, func(id uint64) any { return control.PutConfiguration{ID: id, Partner: partner, Text: b} }, func(r control.Return) {
 			if r.Revision == 0 {
 				f.After(200_000, try)
 				return
 			}
-			f.Truth.configured(r)
+			f.Truth.configured(partner, r)
 			if done != nil {
 				done()
 			}
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"flag"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 
+	"stoneford/result"
 	"stoneford/simulation"
 	"stoneford/standin/checker"
 )
@@ -17,7 +20,7 @@
 )
 
 func plan(seed uint64) simulation.Plan {
-	return simulation.Plan{Seed: seed, Machines: 4, Groups: []string{"inventory-1", "inventory-2"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 20,
+	return simulation.Plan{Seed: seed, Machines: 4, Groups: []string{"inventory-1"}, With: []simulation.Part{{Partner: "lender", Groups: []string{"ledger-1"}}}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 20,
 		Sessions: 16, ThinkUs: 120_000, ServiceUs: 1_000, Servers: 8, LagUs: 5_000}
 }
 
@@ -29,6 +32,9 @@
 	f.Callers()
 	f.RandomFaults(f.Now+30_000_000, 1_500_000)
 	f.Run(f.Now + 30_000_000)
+	if p.Seed%3 == 0 {
+		f.DayEnds()
+	}
 	return f, f.Finish()
 }
 
@@ -59,12 +65,20 @@
 	}
 	var mu sync.Mutex
 	acked, served, all, unsure := 0, 0.0, 0, 0
+	held, forced, moves := map[result.Code][]int64{}, []int64{}, map[string]int{}
 	each(n, *from, func(seed uint64) {
 		f, v := faulty(plan(seed))
 		mu.Lock()
 		defer mu.Unlock()
 		acked, unsure, all = acked+v.Acked, unsure+v.Unsure, all+len(f.Truth.Samples)
 		served += simulation.Served(f.Truth.Samples) / float64(n)
+		forced = append(forced, f.Truth.InForce...)
+		for c, hs := range f.Truth.Held {
+			held[c] = append(held[c], hs...)
+		}
+		for _, b := range f.Calendar().Bookings {
+			moves[b.State]++
+		}
 		if len(v.Violations) > 0 {
 			t.Errorf("seed %d: %d violations:\n%s", seed, len(v.Violations), strings.Join(v.Violations[:min(5, len(v.Violations))], "\n"))
 		}
@@ -73,6 +87,14 @@
 		}
 	})
 	t.Logf("%d seeds: %d queries, %.4f served on average, %d writes acknowledged, %d uncertain", n, all, served, acked, unsure)
+	for _, c := range slices.Sorted(maps.Keys(held)) {
+		slices.Sort(held[c])
+		q := func(x float64) int64 { return checker.Quantile(held[c], x) }
+		t.Logf("code %d, not done: %d, held %d us at the median, %d at the 99th part, %d at most", c, len(held[c]), q(0.5), q(0.99), q(1))
+	}
+	slices.Sort(forced)
+	t.Logf("%d configurations in force on all plain nodes after %d us at the median, %d at the 99th part, %d at most", len(forced), checker.Quantile(forced, 0.5), checker.Quantile(forced, 0.99), checker.Quantile(forced, 1))
+	t.Logf("booked moves by state: %v", moves)
 	if acked < int(n)*500 {
 		t.Errorf("only %d writes were acknowledged: the runs show little", acked)
 	}
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -88,6 +88,16 @@
 // Cut breaks or mends one direction between two places.
 func (n *Network) Cut(from, to string, broken bool) { n.cut[[2]string{from, to}] = broken }
 
+// Ails says whether any way from or to a place is broken.
+func (n *Network) Ails(a string) bool {
+	for k, broken := range n.cut {
+		if broken && (k[0] == a || k[1] == a) {
+			return true
+		}
+	}
+	return false
+}
+
 // Mend mends everything.
 func (n *Network) Mend() { n.cut = map[[2]string]bool{} }
 
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -24,7 +24,8 @@
 
 // Burden is what callers do.
 type Burden struct {
-	Routes   []string // one group behind each
+	Routes   []string                     // one group behind each
+	Classes  map[string]map[string]string // a class's name by route and kind
 	Sessions int
 	Rate     float64 // queries a second, all sessions together
 	Seed     uint64
@@ -73,12 +74,13 @@
 	samples []Sample
 	Checker *checker.Checker
 	ackAt   map[string][]int64 // times of acknowledged writes by route
+	lastTag map[string]string  // newest acknowledged tag by route
 	seq     atomic.Int64
 }
 
 // New makes a run.
 func New(l Burden) *Run {
-	return &Run{burden: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{},
+	return &Run{burden: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{}, lastTag: map[string]string{},
 		c: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 }
 
@@ -123,7 +125,7 @@
 func (r *Run) tick(ctx context.Context, route string) {
 	s := &session{r: r, name: "tick-" + route, route: route, rnd: rand.New(rand.NewPCG(r.burden.Seed, 1<<40))}
 	for pause(ctx, 50*time.Millisecond) {
-		v, ok := s.ask(ctx, "tick", query{Class: "reserve", Statements: stmts("add ticks t 1")})
+		v, ok := s.ask(ctx, "tick", query{Class: s.class("current"), Statements: stmts("add ticks t 1")})
 		if ok && v.Outcome == result.Done {
 			r.Checker.Ticked(route)
 			r.mu.Lock()
@@ -160,7 +162,6 @@
 	node  string
 	id    string
 	token querytable.Token
-	own   int64
 	mark  string // a session value only this session sets
 }
 
@@ -255,21 +256,22 @@
 	case p < 0.55:
 		s.transaction(ctx)
 	case p < 0.60:
-		s.read(ctx, checker.Current, query{Class: "reserve", ReadOnly: true})
+		s.read(ctx, checker.Current, query{Class: s.class("current"), ReadOnly: true})
 	case p < 0.87:
-		s.read(ctx, checker.Lookup, query{Class: "lookup"})
+		s.read(ctx, checker.Lookup, query{Class: s.class("stale")})
 	default:
-		s.read(ctx, checker.Pinned, query{Class: "pickup"})
+		s.read(ctx, checker.Pinned, query{Class: s.class("pinned")})
 	}
 }
 
 func (s *session) tag() string { return "t" + strconv.FormatInt(s.r.seq.Add(1), 10) }
 
-func (s *session) wrote(tag string, o result.Outcome) {
-	s.r.Checker.Wrote(checker.Write{Route: s.route, Tag: tag, Out: o, AtUs: nowUs()})
+func (s *session) wrote(tag string, o result.Outcome, rows ...string) {
+	s.r.Checker.Wrote(checker.Write{Route: s.route, Tag: tag, Rows: rows, Out: o, AtUs: nowUs()})
 	if o == result.Done {
 		s.r.mu.Lock()
 		defer s.r.mu.Unlock()
+		s.r.lastTag[s.route] = tag
 		s.r.ackAt[s.route] = append(s.r.ackAt[s.route], nowUs())
 	}
 }
@@ -280,7 +282,7 @@
 	t0 := nowUs()
 	for n := 1; ; n++ {
 		tag := s.tag()
-		v, ok := s.send(ctx, query{Query: tag, Class: "reserve", Statements: stmts("add ledger " + tag + " 1")})
+		v, ok := s.send(ctx, query{Query: tag, Class: s.class("current"), Statements: stmts("add ledger " + tag + " 1")})
 		if !ok {
 			return
 		}
@@ -299,51 +301,45 @@
 	s.r.samples = append(s.r.samples, Sample{Kind: kind, AtUs: t0, TookUs: nowUs() - t0, Code: v.Code, Outcome: v.Outcome, Tries: n, Copy: v.Copy, OnReplica: v.Replica})
 }
 
-// transaction reads the ticks, takes stock and writes its tag, in several
-// queries, and looks that it runs under its own session values.
+// transaction reads, takes stock in up to a dozen queries and writes its tag,
+// and looks that it runs under its own session values.
 func (s *session) transaction(ctx context.Context) {
 	t0 := nowUs()
 	for n := 1; ; n++ {
 		tag := s.tag()
-		acked := s.r.Checker.Ticks(s.route)
-		key := strconv.Itoa(s.rnd.IntN(50))
-		steps := []query{
-			{Class: "reserve", Begin: true, Statements: stmts("read ticks t stock "+key, "value mark")},
-			{Class: "reserve", Statements: []querytable.Statement{{Text: "add stock ? -1", Params: []string{key}}, {Prepared: "mine"}}},
-			{Class: "reserve", Commit: true, Statements: stmts("add ledger "+tag+" 1", "add own "+s.name+" 1")},
+		ask, seen := s.current()
+		steps := []query{{Class: s.class("current"), Begin: true, Statements: stmts(ask, "value mark")}}
+		rows := []string{checker.OwnRow(s.name)}
+		for range 1 + s.rnd.IntN(1+s.rnd.IntN(10)) {
+			key := strconv.Itoa(s.rnd.IntN(50))
+			rows = append(rows, "stock/"+key)
+			steps = append(steps, query{Class: s.class("current"), Statements: []querytable.Statement{{Text: "add stock ? -1", Params: []string{key}}, {Prepared: "mine"}}})
 		}
+		steps = append(steps, query{Class: s.class("current"), Commit: true, Statements: stmts("add ledger "+tag+" 1", "add own "+s.name+" 1")})
 		mark := s.mark
 		var v reply
 		ok := true
 		for i, q := range steps {
 			if v, ok = s.send(ctx, q); !ok {
 				if i > 0 {
-					s.wrote(tag, result.NothingKept)
+					s.wrote(tag, result.NothingKept, rows...)
 				}
 				return
 			}
 			if i == 0 {
 				mark = s.mark
 			}
-			if v.Outcome != result.Done {
+			if v.Outcome != result.Done || i == len(steps)-1 {
 				break
 			}
-			switch i {
-			case 0:
-				s.gotTicks(checker.Current, v, acked, 0)
-				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
-					s.r.Checker.Odd("%s: a transaction read the session value of another: %v, not %s", s.route, v.Rows, mark)
-				}
-			case 1:
-				if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
-					s.r.Checker.Odd("%s: a prepared name ran as another's: %v, not %s", s.route, v.Rows, mark)
-				}
+			if i == 0 {
+				s.got(checker.Current, v, seen)
+			}
+			if len(v.Rows) != 2 || v.Rows[1][0][0] != mark {
+				s.r.Checker.Odd("%s: step %d of a transaction showed the values of another: %v, not %s", s.route, i, v.Rows, mark)
 			}
 		}
-		s.wrote(tag, v.Outcome)
-		if v.Outcome == result.Done {
-			s.own++
-		}
+		s.wrote(tag, v.Outcome, rows...)
 		if (v.Code.Bounce() || v.Code == result.UnknownSession || v.Code == result.TransactionLost) && nowUs()-t0 < 5_000_000 && pause(ctx, time.Duration(v.RetryAfterUs)*time.Microsecond) {
 			continue
 		}
@@ -352,28 +348,37 @@
 	}
 }
 
+// class is the route's class of a kind.
+func (s *session) class(kind string) string { return s.r.burden.Classes[s.route][kind] }
+
+// current is a statement that reads the ticks, the session's own row and the
+// newest tag that another wrote, and what must show in it.
+func (s *session) current() (string, []checker.Shown) {
+	rows := []string{checker.TickRow, checker.OwnRow(s.name)}
+	s.r.mu.Lock()
+	t := s.r.lastTag[s.route]
+	s.r.mu.Unlock()
+	if t != "" {
+		rows = append(rows, checker.TagRow(t))
+	}
+	return checker.Ask(rows), s.r.Checker.Before(s.route, rows...)
+}
+
 func (s *session) read(ctx context.Context, kind string, q query) {
-	q.Statements = stmts("read ticks t own " + s.name)
-	acked, own := s.r.Checker.Ticks(s.route), s.own
+	ask, seen := s.current()
+	q.Statements = stmts(ask)
 	v, ok := s.ask(ctx, kind, q)
 	if ok && v.Outcome == result.Done {
-		s.gotTicks(kind, v, acked, own)
+		s.got(kind, v, seen)
 	}
 }
 
-func (s *session) gotTicks(kind string, v reply, acked, own int64) {
-	if len(v.Rows) == 0 || len(v.Rows[0]) < 2 {
-		s.r.Checker.Odd("%s: a %s returned %v", s.route, kind, v.Rows)
-		return
-	}
-	n, err1 := strconv.ParseInt(v.Rows[0][0][0], 10, 64)
-	o, err2 := strconv.ParseInt(v.Rows[0][1][0], 10, 64)
-	if err1 != nil || err2 != nil {
-		s.r.Checker.Odd("%s: a %s returned %v", s.route, kind, v.Rows)
-		return
+func (s *session) got(kind string, v reply, seen []checker.Shown) {
+	var vs [][]string
+	if len(v.Rows) > 0 {
+		vs = v.Rows[0]
 	}
-	s.r.Checker.Got(checker.Read{Route: s.route, Kind: kind, Ticks: n, Acked: acked, Own: o, OwnWant: own, AtUs: nowUs(),
-		Where: "on " + v.Copy + " by " + s.node})
+	s.r.Checker.Got(checker.Read{Route: s.route, Kind: kind, Shown: seen, AtUs: nowUs(), Where: "on " + v.Copy + " by " + s.node}, vs)
 }
 
 // Samples returns all queries sent so far.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"stoneford/control"
 	"stoneford/databaseclient"
 	"stoneford/operators"
+	"stoneford/standin/callers"
 	"stoneford/standin/databasecopy"
 	"stoneford/standin/link"
 	"stoneford/standin/platform"
@@ -34,6 +35,7 @@
 	Groups      []string
 	Zones       []string // its names for the three zones
 	Connections int
+	Classes     [3]string // its names of the current, the stale and the pinned class
 }
 
 // Shape is a deployment's sizes.
@@ -45,8 +47,8 @@
 }
 
 var (
-	pharmacies = Part{Partner: "pharmacies", Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 65}
-	lender     = Part{Partner: "lender", Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 80}
+	pharmacies = Part{Partner: "pharmacies", Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 65, Classes: [3]string{"reserve", "lookup", "pickup"}}
+	lender     = Part{Partner: "lender", Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 80, Classes: [3]string{"disburse", "repayment", "limit"}}
 )
 
 // Shapes are the users' two, both on one pool, and a smaller one.
@@ -54,7 +56,7 @@
 	"pharmacies": {Parts: []Part{pharmacies}, Machines: 11, Sessions: 290, Rate: 450},
 	"lender":     {Parts: []Part{lender}, Machines: 10, Sessions: 290, Rate: 450},
 	"both":       {Parts: []Part{pharmacies, lender}, Machines: 21, Sessions: 580, Rate: 900},
-	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40}}, Machines: 4, Sessions: 40, Rate: 80},
+	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
 }
 
 // groups names every group, as PARTNER/GROUP.
@@ -324,17 +326,25 @@
 			dbs[n] = map[string]any{"address": f.addr[n], "zone": pt.Zones[(i+j)%3], "connections": pt.Connections}
 		}
 		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
-		rs[g] = map[string]any{"group": g, "classes": []string{"reserve", "lookup", "pickup"}}
+		rs[g] = map[string]any{"group": g, "classes": pt.Classes[:]}
 	}
 	return map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
-		"reserve": map[string]any{"kind": "current"},
-		"lookup":  map[string]any{"kind": "stale", "stale_us": 1_500_000},
-		"pickup":  map[string]any{"kind": "pinned", "stale_us": 2_500_000},
+		pt.Classes[0]: map[string]any{"kind": "current"},
+		pt.Classes[1]: map[string]any{"kind": "stale", "stale_us": 1_500_000},
+		pt.Classes[2]: map[string]any{"kind": "pinned", "stale_us": 2_500_000},
 	}}
 }
 
-// Routes are the shape's routes.
-func (f *Fleet) Routes() []string { return f.Shape.groups() }
+// Burden is what callers of the shape do, so many sessions and queries a second.
+func (f *Fleet) Burden(sessions int, rate float64, seed uint64) callers.Burden {
+	b := callers.Burden{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes}
+	for _, p := range f.Shape.Parts {
+		for _, g := range p.Groups {
+			b.Classes[p.Partner+"/"+g] = map[string]string{"current": p.Classes[0], "stale": p.Classes[1], "pinned": p.Classes[2]}
+		}
+	}
+	return b
+}
 
 func (f *Fleet) start(p *proc) error {
 	p.mu.Lock()
@@ -556,5 +566,5 @@
 		ts = append(ts, Token(p.Partner))
 	}
 	fmt.Fprintf(w, "control (operators): %s\ntokens: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
-		strings.Join(f.ops, " "), strings.Join(ts, " "), strings.Join(f.Nodes(), " "), strings.Join(f.Routes(), " "), f.folder)
+		strings.Join(f.ops, " "), strings.Join(ts, " "), strings.Join(f.Nodes(), " "), strings.Join(f.Shape.groups(), " "), f.folder)
 }
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -47,10 +47,10 @@
 	ctx, f := started(t, 4)
 	lctx, end := context.WithCancel(ctx)
 	defer end()
-	r := callers.New(callers.Burden{Routes: f.Routes(), Sessions: 20, Rate: 60, Seed: 1, Nodes: f.Nodes})
+	r := callers.New(f.Burden(20, 60, 1))
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Go(lctx) })
-	route := f.Routes()[0]
+	route := f.Burden(0, 0, 0).Routes[0]
 	acked := func(after int64) {
 		t.Helper()
 		if err := fleet.Until(ctx, time.Minute, func() error {
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -161,8 +161,9 @@
 			}
 		}
 	}()
-	r := callers.New(callers.Burden{Routes: f.Routes(), Sessions: ses, Rate: rate, Seed: c.Uint64("seed"),
-		Nodes: func() []string { mu.Lock(); defer mu.Unlock(); return nodes }})
+	burden := f.Burden(ses, rate, c.Uint64("seed"))
+	burden.Nodes = func() []string { mu.Lock(); defer mu.Unlock(); return nodes }
+	r := callers.New(burden)
 	began := time.Now()
 	var wg sync.WaitGroup
 	ats := make([]int64, len(fs))
