A copy is set aside before the platform may replace it

Cause: a booked replacement went to the platform once its drain was over, whatever had happened to the group meanwhile. Acknowledged commits may rest on the primary and just that copy; with the third copy behind and the primary lost, they went with it. A target that a takeover had made the primary was replaced too.

Ruled out: asking once more whether all members reply before handing over (the third copy can fall behind or die after the look; a commit can be acknowledged on the word of the copy that goes up to the moment it is wiped); a planned takeover without the target (safe, but each replica replaced would pause writes).

With two members that count, a takeover needs to seal one. If another copy is lost meanwhile, a new epoch has the one set aside follow again.

--- a/bookings/bookings.go
+++ b/bookings/bookings.go
@@ -26,6 +26,7 @@
 	Confirmed = "confirmed"
 	Draining  = "draining"
 	Switching = "switching"
+	Aside     = "setting aside"
 	Handed    = "handed to the platform"
 	Done      = "done"
 	Failed    = "failed"
@@ -50,7 +51,7 @@
 
 // Begun says whether a booking is being carried out.
 func Begun(b *schema.Booking) bool {
-	return b.State == Draining || b.State == Switching || b.State == Handed
+	return b.State == Draining || b.State == Switching || b.State == Aside || b.State == Handed
 }
 
 // Problem is why a change of the calendar is bounced.
@@ -189,7 +190,7 @@
 // Drained says whether a database is being drained by a booking under way.
 func Drained(c *schema.Calendar, target string) bool {
 	return slices.ContainsFunc(c.GetBookings(), func(b *schema.Booking) bool {
-		return b.Target == target && (b.State == Draining || b.State == Switching || b.State == Handed && b.Kind == Replacement)
+		return b.Target == target && (b.State == Draining || b.State == Switching || b.State == Aside || b.State == Handed && b.Kind == Replacement)
 	})
 }
 
@@ -201,6 +202,7 @@
 	Primary  string // the group's, once its epoch is open
 	Target   string // the database's own name
 	Identity string // the agreed one of the target's copy
+	Aside    bool   // the copy that is to go no longer counts as a member
 	Busy     int    // connections in use to the target
 	Gone     bool   // the machine is stopped
 }
@@ -234,23 +236,41 @@
 			return Draining, "", false
 		}
 	case Draining:
-		if v.SinceUs < drainLeast || v.Busy > 0 && v.SinceUs < drainMost {
-			return "", "", false
-		}
-		if v.Primary == v.Target {
+		switch {
+		case v.SinceUs < drainLeast, v.Busy > 0 && v.SinceUs < drainMost:
+		case v.Primary == v.Target && v.Target != "":
 			return Switching, "", false
+		case b.Kind == Switch && v.Primary != "":
+			return Done, v.Primary + " is the primary", false
+		case v.Primary != "":
+			return Aside, "", false
+		case v.SinceUs > switchMost:
+			return Failed, "the group could not bear it: " + v.Well, false
 		}
-		return Handed, "", false
 	case Switching:
 		switch {
 		case v.Primary != "" && v.Primary != v.Target && b.Kind == Switch:
 			return Done, v.Primary + " is the primary", false
 		case v.Primary != "" && v.Primary != v.Target:
-			return Handed, v.Primary + " is the primary", false
+			return Aside, v.Primary + " is the primary", false
 		case v.SinceUs > switchMost:
 			return Failed, "no other copy became the primary", false
 		}
 		return "", "", true
+	case Aside:
+		// The platform is asked only once nothing acknowledged rests on the copy
+		// that goes (design 11.4).
+		switch {
+		case v.Aside:
+			return Handed, "", false
+		case v.Primary == v.Target && v.Target != "":
+			return Switching, "a takeover made it the primary", false
+		case v.Identity != "" && v.Identity != b.Identity:
+			return Done, "another copy counts already", false
+		case v.SinceUs > switchMost:
+			return Failed, "the group could not spare it: " + v.Well, false
+		}
+		return "", "", true
 	case Handed:
 		switch {
 		case b.Kind == Stop && v.Gone:
--- a/control/calendar.go
+++ b/control/calendar.go
@@ -271,7 +271,7 @@
 		}
 		c.bookingPut = true
 		n := bookings.To(cal, b.Id, st, detail)
-		if st == bookings.Draining || st == bookings.Handed {
+		if st == bookings.Draining {
 			bookings.Find(n, b.Id).Identity = v.Identity
 		}
 		c.putCalendar(now, rev, n, func(now int64, o ballots.Outcome) {
@@ -307,6 +307,9 @@
 		v.Well = "the group is no longer configured"
 		return v
 	}
+	for _, m := range st.Members {
+		v.Aside = v.Aside || m.Database == v.Target && m.Identity == "" && m.Retiring == b.Identity
+	}
 	v.Well = g.decider.Well(now, st)
 	v.Busy = c.reports(now, b.Group)[v.Target].Busy
 	return v
@@ -322,12 +325,27 @@
 	}
 }
 
-// avoid is the primary that a booking under way has the group switch away from.
-func (c *Core) avoid(group string) string {
+// moves is what the bookings under way want of a group: the primary to switch
+// away from, the replica to set aside, and a copy that was set aside and stays,
+// since its booking ended without a replacement.
+func (c *Core) moves(group string, st *schema.GroupState) (avoid, aside, kept string) {
 	for _, b := range c.cal.Bookings {
-		if b.Group == group && b.State == bookings.Switching {
-			return strings.TrimPrefix(b.Target, b.Owner+"/")
+		if b.Group != group {
+			continue
+		}
+		n := strings.TrimPrefix(b.Target, b.Owner+"/")
+		switch {
+		case b.State == bookings.Switching:
+			avoid = n
+		case b.State == bookings.Aside:
+			aside = n
+		case !bookings.Open(b) && b.Identity != "":
+			for _, m := range st.Members {
+				if m.Database == n && m.Retiring == b.Identity {
+					kept = b.Identity
+				}
+			}
 		}
 	}
-	return ""
+	return avoid, aside, kept
 }
--- a/control/core.go
+++ b/control/core.go
@@ -510,7 +510,8 @@
 	v := c.relay.Held(GroupPrefix + k)
 	in := takeover.Input{Places: g.places, First: g.setting.Primary, State: GroupState(v), Rev: v.GetRevision(), Known: true, Acts: acts}
 	if acts {
-		in.Reports, in.Avoid = c.reports(now, k), c.avoid(k)
+		in.Reports = c.reports(now, k)
+		in.Avoid, in.Aside, in.Kept = c.moves(k, in.State)
 	}
 	for _, e := range g.decider.Step(now, in) {
 		switch e := e.(type) {
--- a/result/result.go
+++ b/result/result.go
@@ -75,6 +75,7 @@
 	EpochSeen            Code = 512
 	LogDamaged           Code = 513
 	BookingMoved         Code = 514
+	MemberAside          Code = 515
 )
 
 // Row is one code's line in the table.
@@ -143,6 +144,7 @@
 	{EpochSeen, 0, "the node follows a new epoch of a group", "nothing"},
 	{LogDamaged, 0, "the voter's log is damaged; it was set aside and the voter joins anew", "look at the disk; remove the log that was set aside"},
 	{BookingMoved, 0, "a booking went on to its next state", "nothing"},
+	{MemberAside, 0, "a copy that is to be replaced was set aside; nothing acknowledged rests on it", "nothing"},
 }
 
 var rows = func() map[Code]Row {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -59,6 +59,8 @@
 	Acts    bool // this process holds the group's duty
 	Reports map[string]Report
 	Avoid   string // a planned switch away from this one is wanted
+	Aside   string // this member is to be set aside, so that it can be replaced
+	Kept    string // the identity of a copy that was set aside and stays after all
 }
 
 // Effects.
@@ -120,6 +122,8 @@
 	putting    int64
 	acted      bool
 	sealBegan  int64
+	asideFor   uint64 // epoch in which a copy is set aside
+	asideAt    int64  // when it was first seen to take no log any more
 	fx         []any
 }
 
@@ -276,9 +280,75 @@
 		g.open(now, in, plannedSwitch)
 		return
 	}
-	if right {
-		g.allowNew(now, in, p)
+	if !right || st.Phase != schema.Phase_OPEN {
+		return
+	}
+	if in.Aside != "" && g.setAside(now, in, p) {
+		return
+	}
+	for _, m := range st.Members {
+		// What was set aside and stays follows again in a new epoch.
+		if c := g.m[m.Database]; led && m.Retiring != "" && m.Retiring == in.Kept && c != nil && c.known && c.failing == 0 && c.status.Identity == in.Kept && c.status.Epoch > st.Epoch {
+			g.open(now, in, m.Database+" was set aside and stays")
+			return
+		}
 	}
+	g.allowNew(now, in, p)
+}
+
+// setAside has a replica no longer count, without an epoch's end: it is sealed
+// above the epoch, so that nothing more can be acknowledged on its word; once
+// the other replica holds all that the primary held after that, whatever rested
+// on it is held by both others, and its place is agreed to be empty. It says
+// whether it is at that.
+func (g *Group) setAside(now int64, in Input, p *member) bool {
+	st := in.State
+	t := g.m[in.Aside]
+	i := slices.IndexFunc(st.Members, func(m *schema.Member) bool { return m.Database == in.Aside })
+	if t == nil || !t.known || i < 0 || st.Members[i].Identity == "" || st.Members[i].Identity != t.status.Identity || in.Aside == st.Primary {
+		return false
+	}
+	for _, m := range st.Members {
+		c := g.m[m.Database]
+		if m.Database == in.Aside {
+			continue
+		}
+		if m.Identity == "" || c == nil || c.known && c.status.Identity != m.Identity || c.failing > 0 && now-c.failing >= suspectAfter {
+			// One of the others is lost: without it the group needs this one.
+			if t.status.Epoch > st.Epoch && t.failing == 0 {
+				g.open(now, in, in.Aside+" was set aside and is needed")
+				return true
+			}
+			return false
+		}
+		if !c.known || c.failing > 0 || c.status.Epoch != st.Epoch || c.status.LogEpoch != st.Epoch {
+			return true
+		}
+	}
+	if t.status.Epoch <= st.Epoch || t.status.Role != "sealed" {
+		g.asideFor = 0
+		if now >= g.nextSeal {
+			g.nextSeal = now + sealEvery
+			g.ask(now, Place{Name: in.Aside, Address: address(in, in.Aside)}, st.Epoch+1)
+		}
+		return true
+	}
+	if g.asideFor != st.Epoch {
+		g.asideFor, g.asideAt = st.Epoch, now
+	}
+	if p.start <= g.asideAt {
+		return true
+	}
+	for _, m := range st.Members {
+		if c := g.m[m.Database]; m.Database != in.Aside && c.status.Received < p.status.Received {
+			return true
+		}
+	}
+	n := proto.Clone(st).(*schema.GroupState)
+	n.Members[i].Retiring, n.Members[i].Identity = n.Members[i].Identity, ""
+	g.say(result.MemberAside, "%s at %d; the others hold %d", in.Aside, t.status.Received, p.status.Received)
+	g.put(now, in.Rev, n)
+	return true
 }
 
 // plannedSwitch is the cause of an epoch that no failure opened.
@@ -344,6 +414,9 @@
 	n, waits := 0, false
 	for _, m := range st.Members {
 		s, ok := g.sealed[m.Database]
+		if m.Identity == "" {
+			continue // nothing acknowledged rests on it
+		}
 		if !ok || s.Identity != m.Identity {
 			// A copy on a disk that is not agreed holds nothing it can vouch for.
 			waits = waits || g.m[m.Database] != nil && g.m[m.Database].failing == 0
@@ -355,10 +428,7 @@
 			best = m.Database
 		}
 	}
-	need := len(st.Members)/2 + 1
-	if st.Cause == "first" {
-		need = len(st.Members)
-	}
+	need := sealsNeeded(st)
 	if n < need {
 		if now >= g.nextSay && now-g.sealBegan > askExpiry {
 			g.nextSay = now + sayEvery
@@ -384,6 +454,22 @@
 	g.put(now, in.Rev, x)
 }
 
+// sealsNeeded is how many members have to be sealed so that one of them holds
+// whatever was acknowledged, which the primary and one replica held: all but
+// one of those that count. A first epoch is founded with all.
+func sealsNeeded(st *schema.GroupState) int {
+	n := 0
+	for _, m := range st.Members {
+		if m.Identity != "" {
+			n++
+		}
+	}
+	if st.Cause == "first" {
+		return n
+	}
+	return max(1, n-1)
+}
+
 // worse decides among copies that are equally far.
 func worse(st *schema.GroupState, name string, s Status) bool { return name == st.Avoid || s.Leaving }
 
@@ -414,7 +500,7 @@
 		if c == nil || !c.known || m.Database == in.State.Primary {
 			continue
 		}
-		if c.status.Identity == m.Identity {
+		if c.status.Identity == m.Identity || c.status.Identity == m.Retiring && m.Retiring != in.Kept {
 			c.fresh = ""
 			continue
 		}
@@ -424,7 +510,7 @@
 		}
 		if p.start > c.since && c.failing == 0 && c.status.Epoch == in.State.Epoch && c.status.LogEpoch == in.State.Epoch && c.status.Received >= p.status.Received {
 			n := proto.Clone(in.State).(*schema.GroupState)
-			n.Members[i].Identity = c.status.Identity
+			n.Members[i].Identity, n.Members[i].Retiring = c.status.Identity, ""
 			g.say(result.MemberAllowed, "%s at %d", m.Database, c.status.Received)
 			g.put(now, in.Rev, n)
 			return
