Nothing is held to near its expiry, and callers are told when an outage will end

A lost return held its query until expiry though the database spoke; a read that was placed again and again began each wait anew; a read on the primary waited 2 s for a majority. And retry_after_us was a constant: of those bounced 208, none of 612 was done when it came back as told, of 209 12 %, of 204 41 %.

Waits before runs are now summed over placements; a run without a return is placed elsewhere (reads, 0.5 s) or told uncertain (writes, 2 s), in proportion to its average and never beyond three fifths of its expiry. retry_after_us is the rest of what such an outage usually takes, learned by each node. A drained primary goes on with single statements until its transactions have ended.

--- a/bookings/bookings.go
+++ b/bookings/bookings.go
@@ -25,6 +25,7 @@
 	Proposed  = "proposed"
 	Confirmed = "confirmed"
 	Draining  = "draining"
+	Closing   = "closing"
 	Switching = "switching"
 	Aside     = "setting aside"
 	Handed    = "handed to the platform"
@@ -51,7 +52,7 @@
 
 // Begun says whether a booking is being carried out.
 func Begun(b *schema.Booking) bool {
-	return b.State == Draining || b.State == Switching || b.State == Aside || b.State == Handed
+	return b.State == Draining || b.State == Closing || b.State == Switching || b.State == Aside || b.State == Handed
 }
 
 // Problem is why a change of the calendar is bounced.
@@ -189,8 +190,17 @@
 
 // Drained says whether a database is being drained by a booking under way.
 func Drained(c *schema.Calendar, target string) bool {
+	return at(c, target, Draining) || Closed(c, target)
+}
+
+// Closed says whether a booking under way lets nothing new reach a database.
+func Closed(c *schema.Calendar, target string) bool {
+	return at(c, target, Closing, Switching, Aside, Handed)
+}
+
+func at(c *schema.Calendar, target string, states ...string) bool {
 	return slices.ContainsFunc(c.GetBookings(), func(b *schema.Booking) bool {
-		return b.Target == target && (b.State == Draining || b.State == Switching || b.State == Aside || b.State == Handed && b.Kind == Replacement)
+		return b.Target == target && b.Kind != Stop && slices.Contains(states, b.State)
 	})
 }
 
@@ -204,12 +214,14 @@
 	Identity string // the agreed one of the target's copy
 	Aside    bool   // the copy that is to go no longer counts as a member
 	Busy     int    // connections in use to the target
+	Open     int    // of these, by open transactions
 	Gone     bool   // the machine is stopped
 }
 
 const (
 	drainLeast = 300_000
 	drainMost  = 4_000_000
+	closeMost  = 1_000_000
 	giveUp     = 10 * 60_000_000
 	switchMost = 60_000_000
 )
@@ -236,10 +248,13 @@
 			return Draining, "", false
 		}
 	case Draining:
+		// A primary goes on with single statements until its transactions have
+		// ended; a replica takes nothing new at once.
+		primary := v.Primary == v.Target && v.Target != ""
 		switch {
-		case v.SinceUs < drainLeast, v.Busy > 0 && v.SinceUs < drainMost:
-		case v.Primary == v.Target && v.Target != "":
-			return Switching, "", false
+		case v.SinceUs < drainLeast, v.SinceUs < drainMost && (v.Open > 0 || v.Busy > 0 && !primary):
+		case primary:
+			return Closing, "", false
 		case b.Kind == Switch && v.Primary != "":
 			return Done, v.Primary + " is the primary", false
 		case v.Primary != "":
@@ -247,6 +262,13 @@
 		case v.SinceUs > switchMost:
 			return Failed, "the group could not bear it: " + v.Well, false
 		}
+	case Closing:
+		switch {
+		case v.Primary != v.Target:
+			return Switching, "", false
+		case v.SinceUs >= drainLeast && v.Busy == 0 || v.SinceUs >= closeMost:
+			return Switching, "", false
+		}
 	case Switching:
 		switch {
 		case v.Primary != "" && v.Primary != v.Target && b.Kind == Switch:
--- a/control/calendar.go
+++ b/control/calendar.go
@@ -311,7 +311,8 @@
 		v.Aside = v.Aside || m.Database == v.Target && m.Identity == "" && m.Retiring == b.Identity
 	}
 	v.Well = g.decider.Well(now, st)
-	v.Busy = c.reports(now, b.Group)[v.Target].Busy
+	r := c.reports(now, b.Group)[v.Target]
+	v.Busy, v.Open = r.Busy, r.Open
 	return v
 }
 
--- a/pool/core.go
+++ b/pool/core.go
@@ -349,7 +349,7 @@
 	}
 	for _, m := range cf.Groups[g.name].Members {
 		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
-			Drained: bookings.Drained(c.cal, g.partner+"/"+m)})
+			Drained: bookings.Drained(c.cal, g.partner+"/"+m), Closed: bookings.Closed(c.cal, g.partner+"/"+m)})
 	}
 	for n, s := range cf.Classes {
 		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, ExpiryUs: s.ExpiryUs}
@@ -379,7 +379,7 @@
 		}
 		key := roster.ReportPrefix + k + "/" + v.Name + "/" + c.boot.Name
 		r := c.write(now, key, &schema.DatabaseReport{Reachable: ok, SilentUs: v.SilentUs, Epoch: v.Status.Epoch,
-			Received: v.Status.Received, Applied: v.Status.Applied, Leaving: v.Leaving, Role: v.Status.Role, Busy: int32(v.Busy)})
+			Received: v.Status.Received, Applied: v.Status.Applied, Leaving: v.Leaving, Role: v.Status.Role, Busy: int32(v.Busy), Open: int32(v.Open)})
 		c.recs.Forget(key) // control processes keep these
 		if ok != g.reached[v.Name] {
 			c.tell(r, c.boot.Seeds...)
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -13,10 +13,14 @@
 }
 
 // away says that no new query goes to a database: it announced that it leaves,
-// or an agreed move drains it.
+// or an agreed move drains it. A primary that is drained goes on with single
+// statements until its transactions have ended.
 func (t *Table) away(m Member) bool {
 	s := t.members[m.Name]
-	return m.Drained || s == nil || s.leaving > 0
+	if m.Drained && !m.Closed && m.Name == t.w.Primary && s != nil && !s.status.Leaving {
+		return false
+	}
+	return m.Drained || m.Closed || s == nil || s.leaving > 0
 }
 
 // takesPart says whether a replica's level counts at all.
@@ -296,7 +300,7 @@
 		switch {
 		case !ok || m == nil || c.address != w.Address:
 			t.loseConn(now, c)
-		case m.leaving > 0 && now-m.leaving > leaveGrace, t.stopping && now >= t.stopAt:
+		case m.leaving > 0 && now-m.leaving > leaveGrace && (c.session != "" || t.away(w)), t.stopping && now >= t.stopAt:
 			t.loseConn(now, c)
 		case free && c.ready && (t.away(w) || now-c.since > idleConn):
 			t.closeConn(c)
@@ -325,20 +329,24 @@
 	Status   Status
 	Leaving  bool
 	Busy     int // connections in use
+	Open     int // of these, by open transactions
 }
 
 // Views returns what the node knows of each database of the group.
 func (t *Table) Views(now int64) []View {
 	var vs []View
-	busy := map[string]int{}
+	busy, open := map[string]int{}, map[string]int{}
 	for _, c := range t.conns {
 		if c.query != 0 || c.session != "" {
 			busy[c.db]++
 		}
+		if c.session != "" {
+			open[c.db]++
+		}
 	}
 	for _, w := range t.w.Members {
 		m := t.members[w.Name]
-		v := View{Name: w.Name, Known: m.known, Status: m.status, Leaving: m.leaving > 0, Busy: busy[w.Name]}
+		v := View{Name: w.Name, Known: m.known, Status: m.status, Leaving: m.leaving > 0, Busy: busy[w.Name], Open: open[w.Name]}
 		if m.failing > 0 {
 			v.SilentUs = now - m.failing
 		}
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"stoneford/freshness"
 	"stoneford/result"
 )
@@ -27,6 +29,10 @@
 			q.state, q.db = placing, ""
 		case q.state == running && t.silent(now, q.db) && now-q.sent >= silentAfter:
 			t.cutOff(now, q, result.ReturnLost, "the database fell silent")
+		case q.state == running && now-q.sent >= t.runMost(q):
+			// The database is there and its return does not come.
+			t.learnRun(q, now-q.sent)
+			t.cutOff(now, q, result.ReturnLost, "no return of the run")
 		}
 	})
 	for _, id := range slices.Sorted(maps.Keys(t.conns)) {
@@ -56,7 +62,7 @@
 			t.release(now, c)
 		}
 	}
-	q.conn, q.tries = 0, q.tries+1
+	q.conn, q.tries, q.idleAt = 0, q.tries+1, now
 	if q.db != "" {
 		q.avoid = append(q.avoid, q.db)
 	}
@@ -68,7 +74,19 @@
 	q.state, q.primary, q.db = placing, false, ""
 }
 
-// passExpiry gives up what cannot make its expiry any more, at once.
+// runMost is how long a run may take before its return counts as lost.
+func (t *Table) runMost(q *query) int64 {
+	avg, most := t.avgRun(q.class.Name, q.db), int64(readMost)
+	if q.write {
+		most = writeMost
+	}
+	// Near its expiry it would be of no use.
+	return min(max(most, 8*avg), max((q.expiry-q.came)*3/5, 2*avg))
+}
+
+// passExpiry gives up, at once, what cannot make its expiry any more and what
+// has waited as long as a query may before its runs, however often it was placed
+// anew (design 7.2).
 func (t *Table) passExpiry(now int64) {
 	t.each(func(q *query) {
 		left := q.expiry - now
@@ -77,6 +95,8 @@
 			t.abandon(now, q, result.ReturnLost, "no return by the query's expiry")
 		case q.state <= lining && left <= t.avgRun(q.class.Name, q.db):
 			t.abandon(now, q, result.ExpiryTooNear, "")
+		case q.state <= lining && q.conn == 0 && q.idle+now-q.idleAt > q.class.WaitUs+lineWait:
+			t.bounceQuery(now, q, lo.Ternary(q.state == lining, result.NoConnections, result.NotFresh), retryPrimary)
 		}
 	})
 }
@@ -157,9 +177,9 @@
 	p, ok := t.w.member(t.w.Primary)
 	switch {
 	case !ok, t.silent(now, p.Name), !t.followed(now):
-		t.bounceQuery(now, q, result.NoPrimary, retryPrimary)
-	case t.away(p):
-		t.bounceQuery(now, q, result.Leaving, retryPrimary)
+		t.bounceQuery(now, q, result.NoPrimary, t.comeBack(now))
+	case t.away(p), p.Drained && q.Begin && !q.Commit:
+		t.bounceQuery(now, q, result.Leaving, t.comeBack(now))
 	case p.permit(now) == 0:
 		t.bounceQuery(now, q, result.NoConnections, retryPrimary)
 	default:
@@ -167,6 +187,26 @@
 	}
 }
 
+// comeBack is when the primary may be expected to take queries again: this
+// outage has lasted some time, and the earlier ones that this node saw tell how
+// long one lasts.
+func (t *Table) comeBack(now int64) int64 {
+	if t.outage == 0 {
+		t.outage = now
+	}
+	return max(retryShort, t.outage+t.usualUs-now)
+}
+
+// watchOutage learns how long the primary took nothing new.
+func (t *Table) watchOutage(now int64) {
+	p, ok := t.w.member(t.w.Primary)
+	if t.outage == 0 || !ok || t.away(p) || t.silent(now, p.Name) || !t.followed(now) || t.members[p.Name].start <= t.outage {
+		return
+	}
+	t.usualUs += (now - t.outage - t.usualUs) / 4
+	t.outage = 0
+}
+
 // followed says whether any replica still replies in the epoch: without one
 // nothing the primary does could be vouched for.
 func (t *Table) followed(now int64) bool {
@@ -176,9 +216,6 @@
 	})
 }
 
-// lineWait is the longest a query stands in line for a connection.
-const lineWait = 1_000_000
-
 // passConnect gives connections to those in line, first come first served.
 func (t *Table) passConnect(now int64) {
 	want := map[string]int{}
@@ -267,6 +304,7 @@
 	id := t.id()
 	t.runs[id] = q.ID
 	q.run, q.state, q.sent, q.epoch = id, running, now, t.w.Epoch
+	q.idle, q.idleAt = q.idle+now-q.idleAt, now
 	t.counts.Runs++
 	t.fx = append(t.fx, Run{Run: id, Conn: c.id, Address: c.address, ID: c.remote, Epoch: t.w.Epoch, Ops: ops, ReadOnly: !q.write, UntilUs: q.expiry})
 }
@@ -294,7 +332,7 @@
 		if inTx && !q.Begin {
 			t.end(now, q, Return{Code: result.TransactionLost, Outcome: result.NothingKept, Text: e.Bounced + e.Err})
 		} else {
-			t.bounceQuery(now, q, result.DatabaseAway, retryPrimary)
+			t.bounceQuery(now, q, result.DatabaseAway, t.comeBack(now))
 		}
 		return
 	case e.Err != "":
@@ -393,7 +431,7 @@
 			since = q.came
 		}
 		if !t.majority(q.epoch, q.held, since) {
-			if now-q.waited > settleWait {
+			if now-q.waited > lo.Ternary(q.write, int64(settleWait), lineWait) {
 				if q.write {
 					t.abandon(now, q, result.NoMajority, "")
 				} else {
--- a/querytable/sessions.go
+++ b/querytable/sessions.go
@@ -124,7 +124,7 @@
 			return
 		}
 	}
-	q := &query{Query: e, class: cl, came: now, db: ""}
+	q := &query{Query: e, class: cl, came: now, idleAt: now}
 	x := e.ExpiryUs
 	if x <= 0 {
 		x = cl.ExpiryUs
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -21,7 +21,8 @@
 	Address  string
 	Permit   int   // connections this node may hold
 	UntilUs  int64 // and until when
-	Drained  bool
+	Drained  bool // an agreed move drains it: no new reads on a replica, no new transaction on a primary
+	Closed   bool // and nothing new at all
 }
 
 // permit is what may be held now: a node that was frozen wakes up with none.
@@ -277,6 +278,8 @@
 	ret     Return
 	tries   int
 	avoid   []string
+	idle    int64 // time spent waiting before its runs
+	idleAt  int64 // since when it waits again
 }
 
 type commit struct {
@@ -350,13 +353,15 @@
 	stopping bool
 	fx       []Effect
 	counts   Counts
+	outage   int64 // since when the primary takes nothing new, 0 while it does
+	usualUs  int64 // how long that usually lasts
 }
 
 // New makes an empty table; ties are broken from the seed.
 func New(seed uint64) *Table {
 	return &Table{sessions: map[string]*session{}, queries: map[uint64]*query{}, conns: map[uint64]*conn{},
 		idle: map[string][]uint64{}, polls: map[uint64]poll{}, runs: map[uint64]uint64{}, members: map[string]*member{},
-		runUs: map[string]int64{}, rnd: rand.New(rand.NewPCG(seed, 0))}
+		runUs: map[string]int64{}, usualUs: usualOutage, rnd: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Counts returns the counters.
@@ -383,7 +388,11 @@
 	idleSession  = 3_600_000_000
 	openBackoff  = 50_000
 	settleWait   = 2_000_000
+	lineWait     = 1_000_000 // longest a query waits for a connection, beside what its class lets it wait for a copy
+	readMost     = 500_000   // a read that runs so long, and eight times its average, is placed elsewhere
+	writeMost    = 2_000_000 // a write that runs so long, and eight times its average, is given up
 	keptReturns  = 8
+	usualOutage  = 1_000_000 // until this node has seen one
 	retryShort   = 50_000
 	retryPrimary = 300_000
 )
@@ -407,6 +416,7 @@
 	t.passSettle(now)
 	t.passClean(now)
 	t.passPoll(now)
+	t.watchOutage(now)
 	t.sweep()
 	t.check()
 }
@@ -454,7 +464,7 @@
 		if !had || t.members[m.Name] == nil {
 			t.members[m.Name] = &member{name: m.Name}
 		}
-		if m.Drained && t.members[m.Name].leaving == 0 {
+		if (m.Drained || m.Closed) && t.members[m.Name].leaving == 0 {
 			t.members[m.Name].leaving = now
 		}
 		if had && (p.Address != m.Address || p.Identity != m.Identity) {
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -36,12 +36,27 @@
 	Samples  []Sample
 	Bounced  int                       // connections bounced by a database for its limit
 	Held     map[result.Code][]int64   // how long nodes held what they did not do, by code
+	Again    map[result.Code][]Again   // how it went on after a first bounce, by its code
 	accepted map[string]control.Return // newest configuration told accepted, by partner
 	InForce  []int64                   // how long accepted configurations took to be in force on all plain nodes
 }
 
+// Again is how it went on after a first bounce that said when to come back.
+type Again struct {
+	ToldUs int64 // when to come back
+	TookUs int64 // until what was then done was sent, -1 if it never was
+	Tries  int
+}
+
+// heldMost is how long a node that nothing ails may hold a query that it gives
+// up: a bounce, and whatever had left for a database.
+const (
+	bounceMost = 2_000_000
+	heldMost   = 4_000_000
+)
+
 func newTruth(f *Fleet) *Truth {
-	return &Truth{f: f, Checker: checker.New(), Held: map[result.Code][]int64{}, accepted: map[string]control.Return{}}
+	return &Truth{f: f, Checker: checker.New(), Held: map[result.Code][]int64{}, Again: map[result.Code][]Again{}, accepted: map[string]control.Return{}}
 }
 
 func (t *Truth) bad(s string) { t.Odd("%s", s) }
@@ -354,10 +369,21 @@
 		at := f.Now
 		f.toNode(n, g, func() {
 			n.waiters[id] = func(r querytable.Return) {
-				if r.Outcome != result.Done && n.trouble < at {
-					f.Truth.Held[r.Code] = append(f.Truth.Held[r.Code], f.Now-at)
+				back := func() {
+					took := f.Now - at
+					if r.Outcome != result.Done && n.trouble < at {
+						f.Truth.Held[r.Code] = append(f.Truth.Held[r.Code], took)
+						if took > heldMost || r.Code.Bounce() && took > bounceMost {
+							f.Bad("%s held a query for %d us and gave it up with %d", n.boot.Name, took, r.Code)
+						}
+					}
+					f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() { end(r) })
 				}
-				f.After(f.Between(f.Net.DelayLo, f.Net.DelayHi), func() { end(r) })
+				if f.Plan.Plant == HeldBack && r.Code.Bounce() {
+					f.After(4_500_000, back)
+					return
+				}
+				back()
 			}
 			f.stepTable(n, s.group, e)
 		})
@@ -397,14 +423,28 @@
 // try tries something again for as long as its caller has patience.
 func (s *session) try(kind string, done func(), once func(end func(querytable.Return))) {
 	t0, n := s.f.Now, 0
+	first, told, sent := result.OK, Again{}, int64(0)
 	var try func()
 	try = func() {
 		n++
+		at := s.f.Now
 		once(func(r querytable.Return) {
+			switch {
+			case first != result.OK:
+			case r.Code.Bounce() && r.RetryAfterUs > 0:
+				first, told.ToldUs, sent = r.Code, r.RetryAfterUs, s.f.Now
+			}
 			if again(r) && s.f.Now-t0 < patience && !s.f.halted {
 				s.f.After(r.RetryAfterUs, try)
 				return
 			}
+			if first != result.OK && !s.f.halted {
+				told.Tries, told.TookUs = n, -1
+				if r.Outcome == result.Done {
+					told.TookUs = at - sent
+				}
+				s.f.Truth.Again[first] = append(s.f.Truth.Again[first], told)
+			}
 			s.sample(kind, t0, n, r)
 			done()
 		})
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -64,6 +64,7 @@
 	TokenForgotten          // a session is opened without its token
 	UncheckedChange         // an invalid change passes for a valid one
 	RebasedChange           // a losing change is based anew on the newest revision
+	HeldBack                // bounces reach callers only when the query expires
 	PlatformUnasked         // the platform replaces a copy as soon as it is drained
 )
 
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -65,7 +66,7 @@
 	}
 	var mu sync.Mutex
 	acked, served, all, unsure := 0, 0.0, 0, 0
-	held, forced, moves := map[result.Code][]int64{}, []int64{}, map[string]int{}
+	held, forced, moves, again := map[result.Code][]int64{}, []int64{}, map[string]int{}, map[result.Code][]simulation.Again{}
 	each(n, *from, func(seed uint64) {
 		f, v := faulty(plan(seed))
 		mu.Lock()
@@ -76,6 +77,9 @@
 		for c, hs := range f.Truth.Held {
 			held[c] = append(held[c], hs...)
 		}
+		for c, as := range f.Truth.Again {
+			again[c] = append(again[c], as...)
+		}
 		for _, b := range f.Calendar().Bookings {
 			moves[b.State]++
 		}
@@ -92,6 +96,23 @@
 		q := func(x float64) int64 { return checker.Quantile(held[c], x) }
 		t.Logf("code %d, not done: %d, held %d us at the median, %d at the 99th part, %d at most", c, len(held[c]), q(0.5), q(0.99), q(1))
 	}
+	for _, c := range slices.Sorted(maps.Keys(again)) {
+		var told, took []int64
+		first := 0
+		for _, a := range again[c] {
+			told = append(told, a.ToldUs)
+			if a.TookUs >= 0 {
+				took = append(took, a.TookUs)
+			}
+			if a.Tries == 2 && a.TookUs >= 0 {
+				first++
+			}
+		}
+		slices.Sort(told)
+		slices.Sort(took)
+		t.Logf("code %d, told to come back: %d, %d done when they did, %d in the end; told %d us at the median, done after %d at the median, %d at the 99th part",
+			c, len(told), first, len(took), checker.Quantile(told, 0.5), checker.Quantile(took, 0.5), checker.Quantile(took, 0.99))
+	}
 	slices.Sort(forced)
 	t.Logf("%d configurations in force on all plain nodes after %d us at the median, %d at the 99th part, %d at most", len(forced), checker.Quantile(forced, 0.5), checker.Quantile(forced, 0.99), checker.Quantile(forced, 1))
 	t.Logf("booked moves by state: %v", moves)
@@ -140,7 +161,7 @@
 				if len(v.Violations) > 0 {
 					n++
 					if first == "" {
-						first = v.Violations[0]
+						first = fmt.Sprintf("seed %d: %s", seed, v.Violations[0])
 					}
 				}
 			})
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -47,7 +47,7 @@
 type Place struct{ Name, Address string }
 
 // Report sums what pool nodes say of one database lately.
-type Report struct{ Reach, Miss, Busy int }
+type Report struct{ Reach, Miss, Busy, Open int }
 
 // Input is what a step is told beside the time.
 type Input struct {
