Why a read is on its copy can be asked; bookings by whom

Cause: the question had no sentence and nothing to return, for no choice outlived its query. Each table keeps its newest 256 choices as they were made; a control process puts the question to all living nodes. A partner hears only of its own groups. 'what is booked' takes 'for' a partner, group, database or machine; 'who applied what' is understood too.

Cost: no envelope unless asked; a choice is kept in a ring without copying (the candidates' slice is the one the choice was made on).

--- a/control/calendar.go
+++ b/control/calendar.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -15,6 +16,7 @@
 	"stoneford/language"
 	"stoneford/result"
 	"stoneford/schema"
+	"stoneford/step"
 )
 
 // BookingsKey is the register of the calendar both partners share.
@@ -112,7 +114,16 @@
 		ret(result.OK, c.statusText())
 	case language.VerbApplied:
 		ret(result.OK, c.appliedText(e.Partner))
+	case language.VerbWhy:
+		c.why(now, e, s, ret)
 	case language.VerbBooked:
+		fits := func(string, string, string) bool { return true }
+		if s.Whom.Text != "" {
+			if fits, err = language.Whom(s.Whom, c.places()); err != nil {
+				ret(result.NoSuchThing, err.Error())
+				return
+			}
+		}
 		c.read(now, BookingsKey, func(now int64, o ballots.Outcome) {
 			if o.Verdict != ballots.Agreed {
 				ret(verdict(o.Verdict, false), "")
@@ -120,7 +131,7 @@
 			}
 			var bs []*schema.Booking
 			for _, b := range bookings.Read(o.Value.GetData()).Bookings {
-				if !s.From.IsZero() && (b.AtUs < s.From.UnixMicro() || b.AtUs >= s.Until.UnixMicro()) || s.From.IsZero() && !bookings.Open(b) {
+				if !fits(b.Owner, b.Group, b.Target) || !s.From.IsZero() && (b.AtUs < s.From.UnixMicro() || b.AtUs >= s.Until.UnixMicro()) || s.From.IsZero() && !bookings.Open(b) {
 					continue
 				}
 				bs = append(bs, b)
@@ -132,6 +143,92 @@
 	}
 }
 
+// asked is a question put to every node.
+type asked struct {
+	ret    func(result.Code, string, ...*schema.Booking)
+	until  int64
+	waits  int
+	found  []*schema.Decision
+	nobody string // what to say if no node knows
+}
+
+// whyWait is how long nodes are waited for.
+const whyWait = 1_000_000
+
+// why asks every living node what it decided.
+func (c *Core) why(now int64, e Ask, s language.Sentence, ret func(result.Code, string, ...*schema.Booking)) {
+	m := &schema.WhyAsk{Partner: e.Partner, Query: s.Read}
+	a := &asked{ret: ret, until: now + whyWait, nobody: fmt.Sprintf("no node has decided lately on a read %q of %s", s.Read, e.Partner)}
+	if s.Group.Text != "" {
+		g, err := language.Group(s.Group, c.places(), e.Partner)
+		if err != nil {
+			ret(result.NoSuchThing, err.Error())
+			return
+		}
+		m.Group, a.nobody = g, "no node has decided on a read of "+g+" yet"
+	}
+	c.whys++
+	m.Number = c.whys
+	for _, n := range c.nodes {
+		if n.Kind == "pool" && n.Alive {
+			a.waits++
+			c.fx.Send = append(c.fx.Send, step.Send{To: n.Address, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_WhyAsk{WhyAsk: m}}})
+		}
+	}
+	c.asked[m.Number] = a
+	c.whyTick(now)
+}
+
+func (c *Core) whyReturn(now int64, r *schema.WhyReturn) {
+	if a := c.asked[r.Number]; a != nil {
+		a.found = append(a.found, r.Decisions...)
+		a.waits--
+		c.whyTick(now)
+	}
+}
+
+// whyTick ends the questions that all nodes have replied to, or long enough.
+func (c *Core) whyTick(now int64) {
+	for _, k := range slices.Sorted(maps.Keys(c.asked)) {
+		a := c.asked[k]
+		if a.waits > 0 && now < a.until {
+			continue
+		}
+		delete(c.asked, k)
+		if len(a.found) == 0 {
+			a.ret(result.NoSuchThing, a.nobody)
+			continue
+		}
+		slices.SortStableFunc(a.found, func(x, y *schema.Decision) int {
+			return cmp.Or(cmp.Compare(x.Class, y.Class), cmp.Compare(x.Node, y.Node), cmp.Compare(y.AgoUs, x.AgoUs))
+		})
+		var ls []string
+		for _, d := range a.found {
+			ls = append(ls, decisionText(d))
+		}
+		a.ret(result.OK, strings.Join(ls, "\n"))
+	}
+}
+
+func decisionText(d *schema.Decision) string {
+	l := fmt.Sprintf("%s, %s", d.Group, d.Class)
+	if d.Query != "" {
+		l += " " + d.Query
+	}
+	l += fmt.Sprintf(", %.3f s ago by %s: on %s, %s", float64(d.AgoUs)/1e6, d.Node, d.Copy, d.Reason)
+	if d.Floor > 0 {
+		l += fmt.Sprintf("; its session wrote up to %d", d.Floor)
+	}
+	for _, o := range d.Candidates {
+		if o.Fit {
+			l += fmt.Sprintf("\n  %s: burden %d us + run %d us + wait %d us = %d us; it had applied %d and needed %d", o.Copy, o.BurdenUs, o.RunUs, o.WaitUs, o.BurdenUs+o.RunUs+o.WaitUs, o.Level, o.Need)
+		} else {
+			l += fmt.Sprintf("\n  %s: no level known would do; it had applied %d", o.Copy, o.Level)
+		}
+	}
+	return l
+}
+
 // change changes the calendar: against its newest revision, and as the next.
 func (c *Core) change(now int64, e Ask, s language.Sentence, zone *time.Location, ret func(result.Code, string, ...*schema.Booking)) {
 	var b *schema.Booking
--- a/control/core.go
+++ b/control/core.go
@@ -149,12 +149,15 @@
 	cal        *schema.Calendar
 	carries    map[uint64]*carried
 	bookingPut bool
-	nextBook   int64
-	nextCmp    int64
-	nextDuty   int64
-	nextAnn    int64
-	nextRos    int64
-	fx         Effects
+	// questions put to the nodes
+	asked    map[uint64]*asked
+	whys     uint64
+	nextBook int64
+	nextCmp  int64
+	nextDuty int64
+	nextAnn  int64
+	nextRos  int64
+	fx       Effects
 }
 
 // NewCore makes a control process; run must be greater than any earlier run's
@@ -166,7 +169,7 @@
 		relay:    relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
 		watch: neighbours.New(b.Listen), ctl: neighbours.New(b.Listen), down: map[string]bool{},
 		groups: map[string]*groupDuty{}, configs: map[string]*schema.Configuration{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, carries: map[uint64]*carried{}, cal: &schema.Calendar{}, stamp: run}
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, carries: map[uint64]*carried{}, asked: map[uint64]*asked{}, cal: &schema.Calendar{}, stamp: run}
 	c.duty = duties.New(b.Listen, run, b.Seeds, c.name, c.given)
 	return c
 }
@@ -234,6 +237,8 @@
 	case *schema.Envelope_Pong:
 		c.watched(now, c.watch.Step(now, e))
 		c.watchedCtl(c.ctl.Step(now, e))
+	case *schema.Envelope_WhyReturn:
+		c.whyReturn(now, b.WhyReturn)
 	case *schema.Envelope_PermitAsk:
 		c.permitAsk(now, e.From, b.PermitAsk)
 	}
@@ -449,6 +454,7 @@
 		c.nextDuty = now + dutyEvery
 		c.catchUp(now)
 		c.dutyTick(now)
+		c.whyTick(now)
 	}
 }
 
--- a/freshness/choose.go
+++ b/freshness/choose.go
@@ -10,6 +10,12 @@
 	RunUs    int64 // average past run time of such a query there
 	RateUs   int64 // average time the copy takes to come one position further
 	LagUs    int64 // average time from a commit until the copy has applied it
+
+	// What Choose found of it: whether a level is known that would do, which,
+	// and the expected wait for it.
+	Fits   bool
+	Need   int64
+	WaitUs int64
 }
 
 // wait is how long the copy is expected to take to a level: its pace times what
@@ -35,17 +41,18 @@
 }
 
 // Choose returns the copy with the least burden plus average run time plus
-// catch-up wait. pick(n) breaks ties among n, at random. ok is false where no
-// copy has a level that would do.
+// catch-up wait, and notes in cs what it found of each. pick(n) breaks ties among
+// n, at random. ok is false where no copy has a level that would do.
 func Choose(q *Queue, f Formula, floor, now int64, cs []Copy, pick func(int) int) (Choice, bool) {
 	var best []Choice
-	for _, c := range cs {
+	for i, c := range cs {
 		l, ok := q.Needed(f, c.Level, now)
 		if !ok {
 			continue
 		}
 		l = max(l, floor)
 		w := c.wait(q, l, now)
+		cs[i].Fits, cs[i].Need, cs[i].WaitUs = true, l, w
 		ch := Choice{Copy: c.Name, Level: l, WaitUs: w, CostUs: c.BurdenUs + c.RunUs + w}
 		switch {
 		case len(best) == 0 || ch.CostUs < best[0].CostUs:
--- a/language/language.go
+++ b/language/language.go
@@ -18,15 +18,18 @@
 confirm booking N
 cancel booking N
 move booking N to TIME
-what is booked [today | tomorrow | on DATE]
+what is booked [today | tomorrow | on DATE] [for WHOM]
+why is read ID on its copy      ID: the query id its caller gave
+why are reads of GROUP where they are
 status
-who applied
+who applied what
 help
 
 NAME: a database or machine by its name, or in words: the Cluj replica,
       the Cluj replica of inventory-1, the primary of inventory-1
 TIME: 02:00 (the next one), today 14:30, tomorrow 02:00, 2027-01-31 02:00
 DATE: 2027-01-31
+WHOM: a partner, group, database or machine
 Times are read in the time zone of your partner's configuration.`
 
 // Verbs.
@@ -38,6 +41,7 @@
 	VerbBooked  = "booked"
 	VerbStatus  = "status"
 	VerbApplied = "applied"
+	VerbWhy     = "why"
 	VerbHelp    = "help"
 )
 
@@ -50,6 +54,9 @@
 	At      time.Time
 	From    time.Time // of a question about a day
 	Until   time.Time
+	Whom    Word   // whose bookings are asked for
+	Read    string // the id of a read that is asked about
+	Group   Word   // the group whose reads are asked about
 }
 
 // Word is one word and where it begins, from column 1.
@@ -143,11 +150,16 @@
 	case "status":
 		s.Verb = VerbStatus
 	case "who":
-		s.Verb, err = VerbApplied, r.expect("applied")
+		s.Verb = VerbApplied
+		if err = r.expect("applied"); err == nil && strings.EqualFold(r.peek().Text, "what") {
+			r.next()
+		}
+	case "why":
+		s, err = r.why()
 	case "help":
 		s.Verb = VerbHelp
 	default:
-		return s, fail(w.Column, fmt.Sprintf("%q begins no sentence; these do: book, confirm, cancel, move, what, status, who, help", w.Text))
+		return s, fail(w.Column, fmt.Sprintf("%q begins no sentence; these do: book, confirm, cancel, move, what, why, status, who, help", w.Text))
 	}
 	if err != nil {
 		return s, err
@@ -282,23 +294,100 @@
 	if err := r.expect("booked"); err != nil {
 		return s, err
 	}
-	w := r.peek()
-	if w.Text == "" {
-		return s, nil
+	if w := r.peek(); w.Text != "" && !strings.EqualFold(w.Text, "for") {
+		r.next()
+		if strings.EqualFold(w.Text, "on") {
+			w = r.next()
+		}
+		d, ok := r.day(w)
+		if !ok {
+			return s, fail(w.Column, "expected today, tomorrow, a date such as 2027-01-31 or for and whom, found "+found(w))
+		}
+		y, m, n := d.Date()
+		s.From, s.Until = d, time.Date(y, m, n+1, 0, 0, 0, 0, d.Location())
+	}
+	if strings.EqualFold(r.peek().Text, "for") {
+		r.next()
+		if s.Whom = r.next(); s.Whom.Text == "" {
+			return s, fail(s.Whom.Column, "expected a partner, group, database or machine behind for")
+		}
+	}
+	return s, nil
+}
+
+// why is read ID on its copy, or why are reads of GROUP where they are.
+func (r *reader) why() (Sentence, error) {
+	s := Sentence{Verb: VerbWhy}
+	w := r.next()
+	rest := []string{"on", "its", "copy"}
+	switch strings.ToLower(w.Text) {
+	case "is":
+		if err := r.expect("read"); err != nil {
+			return s, err
+		}
+		id := r.next()
+		if s.Read = id.Text; s.Read == "" {
+			return s, fail(id.Column, "expected the id that the read's caller gave")
+		}
+	case "are":
+		for _, t := range []string{"reads", "of"} {
+			if err := r.expect(t); err != nil {
+				return s, err
+			}
+		}
+		if s.Group = r.next(); s.Group.Text == "" {
+			return s, fail(s.Group.Column, "expected a group")
+		}
+		rest = []string{"where", "they", "are"}
+	default:
+		return s, fail(w.Column, "expected is or are, found "+found(w))
 	}
-	r.next()
-	if strings.EqualFold(w.Text, "on") {
-		w = r.next()
+	if r.peek().Text == "" {
+		return s, nil
 	}
-	d, ok := r.day(w)
-	if !ok {
-		return s, fail(w.Column, "expected today, tomorrow or a date such as 2027-01-31, found "+found(w))
+	for _, t := range rest {
+		if strings.EqualFold(r.peek().Text, "this") && t == "its" {
+			r.next()
+			continue
+		}
+		if err := r.expect(t); err != nil {
+			return s, err
+		}
 	}
-	y, m, n := d.Date()
-	s.From, s.Until = d, time.Date(y, m, n+1, 0, 0, 0, 0, d.Location())
 	return s, nil
 }
 
+// Group finds the one group that a word names among a partner's places.
+func Group(w Word, all []Place, partner string) (string, error) {
+	var own []Place
+	for _, p := range all {
+		if p.Partner == partner {
+			own = append(own, p)
+		}
+	}
+	for _, p := range own {
+		if inGroup(p, w.Text) {
+			return p.Group, nil
+		}
+	}
+	return "", fail(w.Column, fmt.Sprintf("%s has no group %q; there are: %s", partner, w.Text, list(own, func(p Place) string { return p.Group })))
+}
+
+// Whom tells which bookings a word names: of a partner, group, database or
+// machine.
+func Whom(w Word, all []Place) (fits func(owner, group, target string) bool, err error) {
+	last := func(t string) string { return t[strings.LastIndex(t, "/")+1:] }
+	is := func(t string) bool {
+		return t != "" && (strings.EqualFold(t, w.Text) || strings.EqualFold(last(t), w.Text))
+	}
+	for _, p := range all {
+		if is(p.Name) || is(p.Partner) || is(p.Group) {
+			return func(owner, group, target string) bool { return is(owner) || is(group) || is(target) }, nil
+		}
+	}
+	return nil, fail(w.Column, fmt.Sprintf("%q is no partner, group, database or machine; there are: %s", w.Text, list(all, func(p Place) string { return p.Name })))
+}
+
 // Resolve finds the one place that words name. With none or several it says
 // which there are.
 func Resolve(ws []Word, all []Place, machines bool) (Place, error) {
--- a/language/language_test.go
+++ b/language/language_test.go
@@ -62,6 +62,11 @@
 		"what is cooking":                      9,
 		"what is booked someday":               16,
 		"move booking 3 at 02:00":              16,
+		"what is booked today for":             25,
+		"why is read":                          12,
+		"why is read t1 on copy":               19,
+		"why are reads of":                     17,
+		"why not":                              5,
 	} {
 		_, err := Parse(text, now)
 		var e *Error
@@ -71,6 +76,54 @@
 	}
 }
 
+func TestQuestions(t *testing.T) {
+	for text, want := range map[string]Sentence{
+		"why is read t17 on its copy":               {Verb: VerbWhy, Read: "t17"},
+		"why is read t17 on this copy?":             {Verb: VerbWhy, Read: "t17"},
+		"why are reads of inventory-1":              {Verb: VerbWhy, Group: Word{"inventory-1", 18}},
+		"what is booked for pharmacies":             {Verb: VerbBooked, Whom: Word{"pharmacies", 20}},
+		"who applied what":                          {Verb: VerbApplied},
+		"why are reads of ledger-1 where they are?": {Verb: VerbWhy, Group: Word{"ledger-1", 18}},
+	} {
+		s, err := Parse(text, now)
+		if err != nil || s.Verb != want.Verb || s.Read != want.Read || s.Group != want.Group || s.Whom != want.Whom {
+			t.Errorf("%q: %+v, %v", text, s, err)
+		}
+	}
+	if g, err := Group(Word{"inventory-2", 1}, places, "pharmacies"); err != nil || g != "pharmacies/inventory-2" {
+		t.Errorf("%s %v", g, err)
+	}
+	if _, err := Group(Word{"inventory-2", 4}, places, "lender"); err == nil || err.Error() != `column 4: lender has no group "inventory-2"; there are: none` {
+		t.Errorf("another partner's group: %v", err)
+	}
+	if f, err := Whom(Word{"inventory-1", 1}, places); err != nil || !f("pharmacies", "pharmacies/inventory-1", "pharmacies/inventory-1-a") || f("pharmacies", "pharmacies/inventory-2", "pharmacies/inventory-2-a") {
+		t.Errorf("bookings of a group: %v", err)
+	}
+	if _, err := Whom(Word{"nobody", 3}, places); err == nil {
+		t.Error("bookings of nobody")
+	}
+}
+
+// FuzzParse: no sentence ends the process, and each error names a column within
+// the text or just behind it.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"book the Cluj replica for replacement at 02:00", "what is booked on 2027-01-31 for lender", "why is read x on its copy", "move booking #3 to tomorrow 25:61", "confirm booking 99999999999999999999", "why are reads of \xff\u2028"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse(text, now)
+		var e *Error
+		if err != nil && (!errors.As(err, &e) || e.Column < 1 || e.Column > len([]rune(text))+1) {
+			t.Errorf("%q: %v", text, err)
+		}
+		if err == nil && len(s.Name) > 0 {
+			if _, err := Resolve(s.Name, places, s.Kind == "stop"); err != nil && !errors.As(err, &e) {
+				t.Errorf("%q: %v", text, err)
+			}
+		}
+	})
+}
+
 func TestNames(t *testing.T) {
 	for text, want := range map[string]string{
 		"the Cluj replica":                      "inventory-2-b",
--- a/pool/core.go
+++ b/pool/core.go
@@ -36,6 +36,13 @@
 		Views []querytable.View
 		InUse map[string]int
 	}
+	// Decided ends a Why.
+	Decided struct {
+		Why       Why
+		Group     string
+		AtUs      int64
+		Decisions []querytable.Decision
+	}
 	// Stop has the node tell that it leaves.
 	Stop struct{}
 )
@@ -50,6 +57,13 @@
 	// Routes hands out the routes in force: route to group, and who may use
 	// which class is in the group's Wanted.
 	Routes struct{ Routes map[string]Route }
+	// Why asks a group's table what it decided lately.
+	Why struct {
+		From   string
+		Number uint64
+		Group  string
+		Query  string
+	}
 	// Say is for the log.
 	Say struct {
 		Code result.Code
@@ -138,6 +152,8 @@
 				g.views, g.inUse = e.Views, e.InUse
 				c.nextGrp = 0
 			}
+		case Decided:
+			c.decided(e)
 		case Stop:
 			c.leaving, c.nextAnn = true, 0
 		}
@@ -160,6 +176,13 @@
 		c.watched(now, c.watch.Step(now, e))
 	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
 		c.proposed(now, c.proposer.Step(now, e))
+	case *schema.Envelope_WhyAsk:
+		// Only of groups of the partner that asks.
+		for _, k := range slices.Sorted(maps.Keys(c.groups)) {
+			if g := c.groups[k]; g.partner == b.WhyAsk.Partner && (b.WhyAsk.Group == "" || b.WhyAsk.Group == k) {
+				c.fx.Do = append(c.fx.Do, Why{From: e.From, Number: b.WhyAsk.Number, Group: k, Query: b.WhyAsk.Query})
+			}
+		}
 	case *schema.Envelope_PermitGive:
 		if g := c.groups[b.PermitGive.Group]; g != nil {
 			g.asker.Give(now, b.PermitGive)
@@ -168,6 +191,19 @@
 	}
 }
 
+// decided sends what a table decided to the control process that asked.
+func (c *Core) decided(e Decided) {
+	r := &schema.WhyReturn{Number: e.Why.Number}
+	for _, d := range e.Decisions {
+		s := &schema.Decision{Node: c.boot.Name, Group: e.Group, Query: d.Name, Class: d.Class, AgoUs: e.AtUs - d.AtUs, Copy: d.Copy, Reason: d.Reason, Floor: d.Floor}
+		for _, o := range d.Copies {
+			s.Candidates = append(s.Candidates, &schema.Candidate{Copy: o.Name, Level: o.Level, Need: o.Need, BurdenUs: o.BurdenUs, RunUs: o.RunUs, WaitUs: o.WaitUs, Fit: o.Fits})
+		}
+		r.Decisions = append(r.Decisions, s)
+	}
+	c.fx.Send = append(c.fx.Send, step.Send{To: e.Why.From, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_WhyReturn{WhyReturn: r}}})
+}
+
 func (c *Core) learned(now int64, fx relaytree.Effects) {
 	c.fx.Send = append(c.fx.Send, fx.Send...)
 	for _, g := range fx.New {
--- a/pool/process.go
+++ b/pool/process.go
@@ -152,6 +152,12 @@
 			p.want(d)
 		case Routes:
 			p.routes.Store(&d.Routes)
+		case Why:
+			if r := p.tables[d.Group]; r != nil {
+				id := p.queryID.Add(1)
+				r.whys.Store(id, d)
+				r.l.Post(querytable.Why{ID: id, Name: d.Query})
+			}
 		case Say:
 			say(d.Code, d.Text)
 		}
@@ -205,6 +211,7 @@
 	l       *loop.Loop
 	t       *querytable.Table
 	waiters sync.Map // query id to chan querytable.Return
+	whys    sync.Map // id to Why
 	busy    atomic.Int64
 	counts  atomic.Pointer[tableView]
 	nextUs  int64
@@ -235,6 +242,10 @@
 			go r.run(f, now)
 		case querytable.Poll:
 			go r.poll(f)
+		case querytable.Decided:
+			if w, ok := r.whys.LoadAndDelete(f.ID); ok {
+				r.p.node.Offer(Decided{Why: w.(Why), Group: r.group, AtUs: now, Decisions: f.Decisions})
+			}
 		case querytable.Say:
 			say(f.Code, f.Text)
 		}
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -136,8 +136,10 @@
 		switch {
 		case ok && ch.WaitUs > q.class.WaitUs, len(cs) == 0:
 			q.primary = true
+			t.decide(now, q, t.w.Primary, lo.Ternary(ok, waitTooLong, noCopy), floor, cs)
 			t.toPrimary(now, q)
 		case ok:
+			t.decide(now, q, ch.Copy, leastSum, floor, cs)
 			q.db, q.need, q.waited, q.epoch, q.state = ch.Copy, ch.Level, now, t.w.Epoch, level
 			t.waitLevel(now, q)
 		case now-q.came > q.class.WaitUs:
@@ -147,6 +149,41 @@
 	})
 }
 
+// Reasons of a choice.
+const (
+	leastSum    = "least burden, run time and wait together"
+	waitTooLong = "the primary, for the least sum's wait is longer than its class allows"
+	noCopy      = "the primary, for no replica takes part"
+	cameUpLate  = "the primary, for the copy chosen did not come up in time"
+)
+
+// decide keeps a choice for whoever asks why.
+func (t *Table) decide(now int64, q *query, copy, reason string, floor int64, cs []freshness.Copy) {
+	d := Decision{Name: q.Name, Class: q.class.Name, AtUs: now, Copy: copy, Reason: reason, Floor: floor, Copies: cs}
+	if len(t.decided) < keptChoices {
+		t.decided = append(t.decided, d)
+		return
+	}
+	t.decided[t.decideAt] = d
+	t.decideAt = (t.decideAt + 1) % keptChoices
+}
+
+// why is the newest choices for one query's id, or the newest of each class.
+func (t *Table) why(name string) []Decision {
+	var ds []Decision
+	for i := range t.decided {
+		d := t.decided[(t.decideAt+i)%len(t.decided)]
+		if name != "" && d.Name != name {
+			continue
+		}
+		if name == "" {
+			ds = slices.DeleteFunc(ds, func(o Decision) bool { return o.Class == d.Class })
+		}
+		ds = append(ds, d)
+	}
+	return ds
+}
+
 func (t *Table) choose(f freshness.Formula, floor, now int64, cs []freshness.Copy) (freshness.Choice, bool) {
 	switch t.w.Choice {
 	case "random":
@@ -170,6 +207,7 @@
 		q.state = lining
 	case now-q.waited > q.class.WaitUs:
 		q.state, q.primary = placing, true
+		t.decide(now, q, t.w.Primary, cameUpLate, 0, nil)
 	}
 }
 
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -143,6 +143,12 @@
 	Boot struct{ Wanted Wanted }
 	// Stop drains the node; transactions get until GraceUs.
 	Stop struct{ GraceUs int64 }
+	// Why asks what was decided lately: of one query by its caller's id, or the
+	// newest of each class.
+	Why struct {
+		ID   uint64
+		Name string
+	}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -224,6 +230,11 @@
 		Position     int64 // what a read showed
 		Open         bool  // a transaction is open behind it
 	}
+	// Decided ends a Why.
+	Decided struct {
+		ID        uint64
+		Decisions []Decision
+	}
 	// Say is for the log.
 	Say struct {
 		Code result.Code
@@ -231,6 +242,17 @@
 	}
 )
 
+// Decision is one choice of a copy, as it was made.
+type Decision struct {
+	Name   string // the caller's own id of the query
+	Class  string
+	AtUs   int64
+	Copy   string
+	Reason string
+	Floor  int64 // position of the session's newest write, for a pinned read
+	Copies []freshness.Copy
+}
+
 // Effect is one of the above.
 type Effect any
 
@@ -353,6 +375,8 @@
 	stopping bool
 	fx       []Effect
 	counts   Counts
+	decided  []Decision // newest choices, in a ring
+	decideAt int
 	outage   int64 // since when the primary takes nothing new, 0 while it does
 	usualUs  int64 // how long that usually lasts
 }
@@ -392,6 +416,7 @@
 	readMost     = 500_000   // a read that runs so long, and eight times its average, is placed elsewhere
 	writeMost    = 2_000_000 // a write that runs so long, and eight times its average, is given up
 	keptReturns  = 8
+	keptChoices  = 256
 	usualOutage  = 1_000_000 // until this node has seen one
 	retryShort   = 50_000
 	retryPrimary = 300_000
@@ -439,6 +464,8 @@
 		t.ran(now, e)
 	case Polled:
 		t.polled(now, e)
+	case Why:
+		t.fx = append(t.fx, Decided{ID: e.ID, Decisions: t.why(e.Name)})
 	case Stop:
 		t.stopping, t.stopAt = true, now+e.GraceUs
 	}
--- a/simulation/bookings_test.go
+++ b/simulation/bookings_test.go
@@ -149,3 +149,37 @@
 		t.Errorf("three who book at once: %v", codes)
 	}
 }
+
+// TestWhy: a partner asks why a read was served where it was, and hears all that
+// was weighed as it was decided; of the other partner's reads it hears nothing.
+func TestWhy(t *testing.T) {
+	p := plan(5)
+	p.LagUs = 40_000
+	f := simulation.NewFleet(p)
+	f.PutConfiguration(nil)
+	f.Run(3_000_000)
+	f.Callers()
+	f.Run(f.Now + 3_000_000)
+	read := f.LastRead("pharmacies/inventory-1")
+	for _, c := range []struct {
+		who, text string
+		want      result.Code
+		says      []string
+	}{
+		{"pharmacies", "why is read " + read + " on its copy", result.OK, []string{read, "least burden, run time and wait together", "inventory-1-b: burden", "inventory-1-c: burden", "needed"}},
+		{"pharmacies", "why are reads of inventory-1 where they are", result.OK, []string{"reserve", "lookup", "pickup", "by pool-"}},
+		{"lender", "why is read " + read + " on its copy", result.NoSuchThing, nil},
+		{"lender", "why are reads of inventory-1", result.NoSuchThing, []string{"lender/ledger-1"}},
+		{"pharmacies", "why is read nothing-such on its copy", result.NoSuchThing, nil},
+	} {
+		a := booked(f, c.who, c.text)
+		if a.Code != c.want {
+			t.Errorf("%s: %q: %d %s", c.who, c.text, a.Code, a.Text)
+		}
+		for _, w := range c.says {
+			if !strings.Contains(a.Text, w) {
+				t.Errorf("%s: %q does not say %q:\n%s", c.who, c.text, w, a.Text)
+			}
+		}
+	}
+}
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -554,7 +554,8 @@
 func (s *session) read(kind string, q querytable.Query, done func()) {
 	s.try(kind, done, func(end func(querytable.Return)) {
 		ask, seen := s.current()
-		q.Statements = stmts(ask)
+		q.Name, q.Statements = s.tag(), stmts(ask)
+		s.f.lastRead[s.route] = q.Name
 		s.send(q, func(r querytable.Return) {
 			if r.Outcome == result.Done {
 				s.got(kind, r, seen)
@@ -769,6 +770,9 @@
 	return 0
 }
 
+// LastRead is the id of the read that was sent last on a route.
+func (f *Fleet) LastRead(route string) string { return f.lastRead[route] }
+
 // Name is the database's own.
 func (d *DB) Name() string { return d.name }
 
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -135,6 +135,7 @@
 	waiting       int                      // queries whose callers wait for a return
 	rolling       bool                     // all nodes, or all control processes, are restarted in turn
 	lastTag       map[string]string        // newest acknowledged tag by route
+	lastRead      map[string]string        // newest read by route
 	firsts        map[string]*schema.Value // of each configuration, for a plant
 	booked        int                      // moves booked by randomFault
 }
@@ -159,7 +160,7 @@
 	p.TickUs = cmp.Or(p.TickUs, 50_000)
 	f := &Fleet{World: w, Cf: &schema.Configuration{}, owner: map[string]string{}, texts: map[string][]byte{}, class: map[string]map[string]string{}, zones: map[string]string{},
 		Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, told: map[uint64]func(control.Told){},
-		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, lastTag: map[string]string{}, firsts: map[string]*schema.Value{}, PlatformUs: 5_000}
+		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, lastTag: map[string]string{}, lastRead: map[string]string{}, firsts: map[string]*schema.Value{}, PlatformUs: 5_000}
 	parts := append([]Part{{Partner: p.Partner, Groups: p.Groups}}, p.With...)
 	p.Groups = nil
 	for i, pt := range parts {
@@ -529,6 +530,14 @@
 			f.stepTable(n, d.Group, querytable.Boot{Wanted: w})
 		case pool.Routes:
 			n.routes = d.Routes
+		case pool.Why:
+			if t := n.tables[d.Group]; t != nil {
+				for _, e := range t.Step(f.Now, querytable.Why{Name: d.Query}) {
+					if e, ok := e.(querytable.Decided); ok {
+						f.stepNode(n, pool.Decided{Why: d, Group: d.Group, AtUs: f.Now, Decisions: e.Decisions})
+					}
+				}
+			}
 		case pool.Say:
 			f.say("%s %d %s", n.boot.Name, d.Code, d.Text)
 		}
