The fleet's runner cuts one way, loses machines, rolls, crowds and moves callers

Cause: real processes had cuts of a whole process only, since a link could not tell who a connection came from; no crowd, no move between zones, no slow machine, no whole machine, no boot file rewritten under burden, and the moves of the language had run on real processes once by hand.

A process's outgoing connections now come from the IP it listens on, and each process of the runner has one of its own on the loopback, so a cut can be of one way between any two. The lender's callers use its own class names.

Ruled out: network namespaces for the runner (root and tools on every machine that runs the tests).

--- a/databaseclient/client.go
+++ b/databaseclient/client.go
@@ -63,10 +63,10 @@
 // Client is safe for use by many goroutines.
 type Client struct{ h *http.Client }
 
-// New makes a client.
-func New() *Client {
+// New makes a client whose connections come from a local address, or from any.
+func New(from net.Addr) *Client {
 	return &Client{h: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 700 * time.Millisecond, KeepAlive: 5 * time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: 700 * time.Millisecond, KeepAlive: 5 * time.Second, LocalAddr: from}).DialContext,
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}}}
 }
--- a/links/links.go
+++ b/links/links.go
@@ -28,6 +28,7 @@
 // Links is one process's end of all its links.
 type Links struct {
 	self    string
+	local   net.Addr
 	receive func(*schema.Envelope)
 	ctx     context.Context
 	mu      sync.Mutex
@@ -37,9 +38,10 @@
 	taken   atomic.Uint64
 }
 
-// New makes the links of a process; receive is called from many goroutines.
-func New(ctx context.Context, self string, receive func(*schema.Envelope)) *Links {
-	return &Links{self: self, receive: receive, ctx: ctx, out: map[string]chan *schema.Envelope{}}
+// New makes the links of a process, whose connections come from a local address
+// or from any; receive is called from many goroutines.
+func New(ctx context.Context, self string, local net.Addr, receive func(*schema.Envelope)) *Links {
+	return &Links{self: self, local: local, receive: receive, ctx: ctx, out: map[string]chan *schema.Envelope{}}
 }
 
 // Counts are envelopes sent, dropped and received.
@@ -96,7 +98,7 @@
 // connected sends over one connection until it breaks; true says that it was
 // merely idle.
 func (l *Links) connected(to string, ch chan *schema.Envelope) bool {
-	d := net.Dialer{Timeout: dialTime}
+	d := net.Dialer{Timeout: dialTime, LocalAddr: l.local}
 	nc, err := d.DialContext(l.ctx, "tcp", to)
 	if err != nil {
 		return false
@@ -140,6 +142,16 @@
 	return d.Conn.Write(b)
 }
 
+// Local is the address that connections of a process come from, so that others
+// can tell it by it: the IP it listens on, or any where it listens on all.
+func Local(listen string) net.Addr {
+	h, _, err := net.SplitHostPort(listen)
+	if ip := net.ParseIP(h); err == nil && ip != nil && !ip.IsUnspecified() {
+		return &net.TCPAddr{IP: ip}
+	}
+	return nil
+}
+
 type nodes struct{ l *Links }
 
 // Link takes a neighbour's envelopes until it hangs up.
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -29,7 +29,9 @@
 	Sessions int
 	Rate     float64 // queries a second, all sessions together
 	Seed     uint64
-	Nodes    func() []string // ready nodes, as the platform hands them out
+	Nodes    func() []string          // ready nodes, as the platform hands them out
+	Zones    []string                 // zones that callers stand in
+	Zone     func(node string) string // a node's zone
 }
 
 // reply is a pool's return.
@@ -76,6 +78,10 @@
 	ackAt   map[string][]int64 // times of acknowledged writes by route
 	lastTag map[string]string  // newest acknowledged tag by route
 	seq     atomic.Int64
+	ctx     context.Context // of Go
+	wg      sync.WaitGroup
+	all     []*session
+	crowds  int
 }
 
 // New makes a run.
@@ -88,26 +94,73 @@
 
 // Go sends the burden until the context ends, then waits for what is under way.
 func (r *Run) Go(ctx context.Context) {
-	var wg sync.WaitGroup
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
 	for _, rt := range r.burden.Routes {
-		wg.Go(func() { r.tick(ctx, rt) })
+		r.wg.Go(func() { r.tick(ctx, rt) })
 	}
-	per := time.Duration(float64(time.Second) * float64(r.burden.Sessions) / r.burden.Rate)
 	for i := range r.burden.Sessions {
-		wg.Go(func() {
-			rnd := rand.New(rand.NewPCG(r.burden.Seed, uint64(i)))
-			s := &session{r: r, name: fmt.Sprintf("s%d-%d", r.burden.Seed, i), route: r.burden.Routes[i%len(r.burden.Routes)], rnd: rnd}
-			next := time.Now().Add(time.Duration(rnd.Int64N(int64(per))))
-			for pause(ctx, time.Until(next)) {
-				s.one(ctx)
-				next = next.Add(time.Duration((0.5 + rnd.Float64()) * float64(per)))
-				if n := time.Now(); next.Before(n) {
-					next = n
-				}
+		r.begin(ctx, fmt.Sprintf("s%d-%d", r.burden.Seed, i), i, r.burden.Rate)
+	}
+	r.wg.Wait()
+}
+
+// begin starts one session that shares so many queries a second with the others.
+func (r *Run) begin(ctx context.Context, name string, i int, rate float64) {
+	per := time.Duration(float64(time.Second) * float64(r.burden.Sessions) / rate)
+	s := r.session(name, r.burden.Routes[i%len(r.burden.Routes)], uint64(i))
+	r.wg.Go(func() {
+		next := time.Now().Add(time.Duration(s.rnd.Int64N(int64(min(per, time.Second)))))
+		for pause(ctx, time.Until(next)) {
+			s.one(ctx)
+			next = next.Add(time.Duration((0.5 + s.rnd.Float64()) * float64(per)))
+			if n := time.Now(); next.Before(n) {
+				next = n
 			}
-		})
+		}
+	})
+}
+
+func (r *Run) session(name, route string, i uint64) *session {
+	s := &session{r: r, name: name, route: route, rnd: rand.New(rand.NewPCG(r.burden.Seed, i))}
+	if n := len(r.burden.Zones); n > 0 {
+		s.zone.Store(r.burden.Zones[int(i)%n])
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, s)
+	return s
+}
+
+// Crowd has so many times the sessions come within a second, each as busy as the
+// others, and go again.
+func (r *Run) Crowd(times int, length time.Duration) {
+	r.mu.Lock()
+	ctx := r.ctx
+	r.crowds++
+	n := r.crowds
+	r.mu.Unlock()
+	ctx, stop := context.WithTimeout(ctx, length)
+	for i := range times * r.burden.Sessions {
+		r.begin(ctx, fmt.Sprintf("c%d-%d-%d", r.burden.Seed, n, i), n<<20+i, r.burden.Rate)
+	}
+	r.wg.Go(func() { <-ctx.Done(); stop() })
+}
+
+// Move has the sessions of a zone, or all, go on in the next one, in the middle of
+// what they are at.
+func (r *Run) Move(zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	zs := r.burden.Zones
+	for _, s := range r.all {
+		z, _ := s.zone.Load().(string)
+		if i := slices.Index(zs, z); i >= 0 && (zone == z || zone == "all") {
+			s.zone.Store(zs[(i+1)%len(zs)])
+			s.moved.Store(true)
+		}
 	}
-	wg.Wait()
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
@@ -123,7 +176,7 @@
 
 // tick adds one to a row over and over; how far it is tells how fresh a read is.
 func (r *Run) tick(ctx context.Context, route string) {
-	s := &session{r: r, name: "tick-" + route, route: route, rnd: rand.New(rand.NewPCG(r.burden.Seed, 1<<40))}
+	s := r.session("tick-"+route, route, 1<<40)
 	for pause(ctx, 50*time.Millisecond) {
 		v, ok := s.ask(ctx, "tick", query{Class: s.class("current"), Statements: stmts("add ticks t 1")})
 		if ok && v.Outcome == result.Done {
@@ -163,6 +216,8 @@
 	id    string
 	token querytable.Token
 	mark  string // a session value only this session sets
+	zone  atomic.Value
+	moved atomic.Bool // it is in another zone and has not noticed
 }
 
 func (s *session) post(ctx context.Context, url string, in any) (reply, error) {
@@ -191,6 +246,11 @@
 			pause(ctx, 100*time.Millisecond)
 			continue
 		}
+		if z, _ := s.zone.Load().(string); z != "" {
+			if near := slices.DeleteFunc(slices.Clone(ns), func(n string) bool { return s.r.burden.Zone(n) != z }); len(near) > 0 {
+				ns = near
+			}
+		}
 		s.node = ns[s.rnd.IntN(len(ns))]
 		s.mark = s.name + "/" + strconv.FormatInt(s.r.seq.Add(1), 10)
 		v, err := s.post(ctx, "http://"+s.node+"/v1/sessions", map[string]any{"route": s.route, "token": s.token,
@@ -206,6 +266,9 @@
 
 // send sends one query once. The caller that never hears back does not know.
 func (s *session) send(ctx context.Context, q query) (reply, bool) {
+	if s.moved.Swap(false) {
+		s.id = "" // the old node is told nothing, as when a phone changes networks
+	}
 	if s.id == "" && !s.open(ctx) {
 		return reply{}, false
 	}
@@ -320,6 +383,10 @@
 		var v reply
 		ok := true
 		for i, q := range steps {
+			if i > 0 && s.moved.Load() {
+				v = reply{Code: result.TransactionLost, Outcome: result.NothingKept}
+				break // what it had begun elsewhere keeps nothing
+			}
 			if v, ok = s.send(ctx, q); !ok {
 				if i > 0 {
 					s.wrote(tag, result.NothingKept, rows...)
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -62,13 +62,13 @@
 }
 
 // NewServer opens the log in the folder and restores the copy from it.
-func NewServer(name, identity, folder string, limit int, f Faults) (*Server, error) {
+func NewServer(name, identity, folder string, limit int, from net.Addr, f Faults) (*Server, error) {
 	w, err := wal.Open(folder, &wal.Options{NoSync: true, LogFormat: wal.JSON, NoCopy: false, SegmentSize: 20 << 20, SegmentCacheSize: 2})
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{c: New(name, identity, limit, rand.Int64N(1<<30)<<32), w: w, news: make(chan struct{}), faults: f,
-		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: (&net.Dialer{LocalAddr: from}).DialContext}}}
 	last, err := w.LastIndex()
 	if err != nil {
 		return nil, err
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"stoneford/standin/databasecopy"
+	"stoneford/standin/link"
 )
 
 // Fault is one entry of a schedule.
@@ -40,7 +43,18 @@
 	"leave":          "database: announces that it leaves",
 	"stay":           "database: takes that back",
 	"cut":            "cut the process off: what is on the way stops, nothing is closed",
-	"mend":           "end cut and drop",
+	"cut-way":        "cut one way between two processes, the target FROM>TO, as cut does",
+	"deaf":           "nothing reaches the process any more; what it sends arrives",
+	"mute":           "nothing that the process sends arrives any more; it hears all",
+	"mend":           "end cut, cut-way (name it again), deaf, mute and drop",
+	"slow-machine":   "the process gets its processor for so many of 100 ms only, until resume",
+	"kill-machine":   "machine N: kill its control process and its pool node at once",
+	"wipe-machine":   "the same, and its disk is lost",
+	"start-machine":  "start both again",
+	"roll":           "restart every process of a kind in turn: pools or controls",
+	"boot":           "rewrite the boot file with no signal: 0 well, 1 half-written, 2 with a wrong value, 3 as it was",
+	"crowd":          "callers: so many times the sessions come within a second, for 4 s (the target is any word)",
+	"move":           "callers: those of a zone, or of all, go on in another zone",
 	"reset":          "reset every connection to the process",
 	"drop":           "of what comes to the process, so many of 100 pieces arrive 200 ms late",
 	"join":           "a new machine joins (the target is any word)",
@@ -78,8 +92,22 @@
 // Do brings one fault about and returns the process it hit.
 func (f *Fleet) Do(ctx context.Context, ft Fault) (string, error) {
 	n := ft.Target
-	if ft.Action == "join" {
+	switch ft.Action {
+	case "join":
 		return f.Join()
+	case "crowd":
+		f.burden.Crowd(int(ft.Value), 4*time.Second)
+		return n, nil
+	case "move":
+		f.burden.Move(n)
+		return n, nil
+	case "roll":
+		return n, f.roll(ctx, n)
+	case "kill-machine", "wipe-machine", "start-machine":
+		return n, f.machine(ctx, ft)
+	}
+	if from, to, ok := strings.Cut(n, ">"); ok {
+		return n, f.cutWay(from, to, ft.Action == "cut-way")
 	}
 	if g, ok := strings.CutPrefix(n, "primary@"); ok {
 		n = f.Primary(ctx, g)
@@ -118,6 +146,7 @@
 	case "pause":
 		p.signal(syscall.SIGSTOP, false)
 	case "resume":
+		p.slow(0)
 		p.signal(syscall.SIGCONT, false)
 	case "slow":
 		return n, set(databasecopy.Faults{ServiceUs: plain + ft.Value})
@@ -134,12 +163,21 @@
 	case "stop-applying":
 		return n, set(databasecopy.Faults{ServiceUs: plain, StopApplying: true})
 	case "cut", "mend", "reset", "drop":
+		if ft.Action == "mend" {
+			for _, o := range f.order { // what this one sends passes the links of others
+				for _, k := range f.procs[o].links {
+					k.Cut(link.Way{From: p.ip}, false)
+					k.Cut(link.Way{From: p.ip, Back: true}, false)
+				}
+			}
+		}
 		for _, k := range p.links {
 			switch ft.Action {
 			case "cut":
-				k.Cut(true)
+				k.Cut(link.Way{}, true)
+				k.Cut(link.Way{Back: true}, true)
 			case "mend":
-				k.Cut(false)
+				k.Mend()
 				k.Loss(0)
 			case "reset":
 				k.Reset()
@@ -147,12 +185,155 @@
 				k.Loss(float64(ft.Value) / 100)
 			}
 		}
+	case "deaf", "mute":
+		for _, o := range f.order {
+			from, to := n, o
+			if ft.Action == "deaf" {
+				from, to = o, n
+			}
+			if o != n {
+				if err := f.cutWay(from, to, true); err != nil {
+					return n, err
+				}
+			}
+		}
+	case "slow-machine":
+		p.slow(time.Duration(ft.Value) * time.Millisecond)
+	case "boot":
+		return n, rewrite(p.boot, ft.Value)
 	case "leave", "stay":
 		return n, databasecopy.Call(ctx, "http://"+p.http+"/v1/leave", map[string]bool{"leaving": ft.Action == "leave"}, nil)
 	}
 	return n, nil
 }
 
+// cutWay stops, or lets go on, what one process sends another: on the links of
+// the one what it returns, on those of the other what comes from it.
+func (f *Fleet) cutWay(from, to string, cut bool) error {
+	a, b := f.procs[from], f.procs[to]
+	if a == nil || b == nil {
+		return fmt.Errorf("no processes %s and %s", from, to)
+	}
+	for _, k := range b.links {
+		k.Cut(link.Way{From: a.ip}, cut)
+	}
+	for _, k := range a.links {
+		k.Cut(link.Way{From: b.ip, Back: true}, cut)
+	}
+	return nil
+}
+
+// roll restarts every process of a kind in turn, each once the one before is
+// ready again.
+func (f *Fleet) roll(ctx context.Context, kind string) error {
+	pre := map[string]string{"pools": "pool-", "controls": "control-"}[kind]
+	if pre == "" {
+		return fmt.Errorf("roll %s: neither pools nor controls", kind)
+	}
+	for _, n := range slices.Clone(f.order) {
+		if !strings.HasPrefix(n, pre) {
+			continue
+		}
+		if _, err := f.Do(ctx, Fault{Action: "restart", Target: n}); err != nil {
+			return err
+		}
+		if err := Until(ctx, time.Minute, func() error { return f.Ready(ctx, n) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// machine ends or starts both processes of a disk machine.
+func (f *Fleet) machine(ctx context.Context, ft Fault) error {
+	for _, n := range []string{"control-" + ft.Target, "pool-" + ft.Target} {
+		p := f.procs[n]
+		switch {
+		case p == nil:
+			return fmt.Errorf("no machine %s", ft.Target)
+		case ft.Action == "start-machine":
+			if err := f.start(p); err != nil {
+				return err
+			}
+			continue
+		}
+		p.signal(syscall.SIGKILL, true)
+		if ft.Action == "wipe-machine" && p.folder != "" {
+			if err := os.RemoveAll(p.folder); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// slow has the process run for so much of each 100 ms, 0 for all of it.
+func (p *proc) slow(runs time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unslow != nil {
+		close(p.unslow)
+		p.unslow = nil
+	}
+	if runs <= 0 || p.cmd == nil {
+		return
+	}
+	stop, c, done := make(chan struct{}), p.cmd, p.done
+	p.unslow = stop
+	go func() {
+		for i := 0; ; i++ {
+			sig, d := syscall.SIGCONT, runs
+			if i%2 == 1 {
+				sig, d = syscall.SIGSTOP, 100*time.Millisecond-runs
+			}
+			_ = c.Process.Signal(sig)
+			t := time.NewTimer(d)
+			select {
+			case <-done:
+				t.Stop()
+				return
+			case <-stop:
+				t.Stop()
+				_ = c.Process.Signal(syscall.SIGCONT)
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
+// rewrite changes a boot file in place, as an operator's editor may.
+func rewrite(file string, how int64) error {
+	whole, err := os.ReadFile(file + ".whole")
+	if errors.Is(err, os.ErrNotExist) {
+		if whole, err = os.ReadFile(file); err == nil {
+			err = os.WriteFile(file+".whole", whole, 0o644)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	m := map[string]any{}
+	if err := json.Unmarshal(whole, &m); err != nil {
+		return err
+	}
+	out := whole
+	switch how {
+	case 0:
+		m["log_level"] = "debug"
+		out, err = json.Marshal(m)
+	case 1:
+		out = whole[:len(whole)/2]
+	case 2:
+		m["log_level"] = "loud"
+		out, err = json.Marshal(m)
+	}
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, out, 0o644)
+}
+
 // String is the schedule's own form.
 func (f Fault) String() string {
 	s := fmt.Sprintf("%s:%s:%s", f.At, f.Action, f.Target)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -56,6 +56,7 @@
 	"pharmacies": {Parts: []Part{pharmacies}, Machines: 11, Sessions: 290, Rate: 450},
 	"lender":     {Parts: []Part{lender}, Machines: 10, Sessions: 290, Rate: 450},
 	"both":       {Parts: []Part{pharmacies, lender}, Machines: 21, Sessions: 580, Rate: 900},
+	"two":        {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}, {Partner: "lender", Groups: []string{"ledger-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: lender.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
 	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
 }
 
@@ -111,11 +112,15 @@
 	args   []string
 	folder string // its data folder, wiped when it is lost for good
 	http   string // where the runner itself reaches it, past its links
+	ip     string // where its connections come from
+	boot   string // its boot file
+	zone   string
 	links  []*link.Link
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	done   chan struct{}
-	wanted bool // an exit now is a fault of the schedule
+	unslow chan struct{} // ends its slow machine
+	wanted bool          // an exit now is a fault of the schedule
 }
 
 // Fleet is a running fleet.
@@ -132,6 +137,9 @@
 	seeds    []string
 	nodes    []string // callers' addresses of all pool nodes
 	free     []string // ports not taken yet
+	ips      int
+	zones    map[string]string // of pool nodes, by callers' address
+	burden   *callers.Run      // what callers do, once they run
 	died     []string
 	mu       sync.Mutex
 	clean    cleanup.Stack
@@ -175,7 +183,7 @@
 
 // New lays a fleet out; nothing runs yet.
 func New(s Shape, bin, folder string) (*Fleet, error) {
-	f := &Fleet{Shape: s, bin: bin, folder: folder, procs: map[string]*proc{}, addr: map[string]string{}}
+	f := &Fleet{Shape: s, bin: bin, folder: folder, procs: map[string]*proc{}, addr: map[string]string{}, zones: map[string]string{}}
 	// Every process listens on a port of its own behind a link that others
 	// reach it through; some ports are kept for machines that join later.
 	ps, err := ports(1 + 2*(2*3+2*(s.Machines+spare)+3*len(s.groups())))
@@ -198,8 +206,9 @@
 			_, g, _ := strings.Cut(k, "/")
 			n := fmt.Sprintf("%s-%c", g, 'a'+i)
 			f.addr[n] = take()
-			d, at := filepath.Join(folder, n), take()
-			p := &proc{name: n, kind: "standin-database", folder: d, http: at}
+			p := &proc{name: n, kind: "standin-database", ip: f.nextIP()}
+			d, at := filepath.Join(folder, n), p.at(take())
+			p.folder, p.http = d, at
 			f.link(p, f.addr[n], at)
 			p.args = []string{"--name", n, "--listen", at, "--folder", d, "--connections", fmt.Sprint(s.connections(k))}
 			f.add(p)
@@ -227,6 +236,16 @@
 // spare is how many machines may join later.
 const spare = 4
 
+// nextIP gives each process an address of its own on the loopback, so that what
+// it sends can be told by where it comes from.
+func (f *Fleet) nextIP() string {
+	f.ips++
+	return fmt.Sprintf("127.0.%d.%d", 1+f.ips/200, 1+f.ips%200)
+}
+
+// at is the process's own address with a port that was found free.
+func (p *proc) at(addr string) string { return p.ip + addr[strings.LastIndex(addr, ":"):] }
+
 func (f *Fleet) take() string {
 	p := f.free[0]
 	f.free = f.free[1:]
@@ -267,7 +286,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
-	st, err := databaseclient.New().Poll(ctx, p.http, 0, 0, 0)
+	st, err := databaseclient.New(nil).Poll(ctx, p.http, 0, 0, 0)
 	if err == nil && st.Identity != identity {
 		return nil
 	}
@@ -294,9 +313,9 @@
 func (f *Fleet) add(p *proc) { f.procs[p.name] = p; f.order = append(f.order, p.name) }
 
 func (f *Fleet) boot(name, kind string, m map[string]any) error {
-	p := &proc{name: name, kind: kind}
+	p := &proc{name: name, kind: kind, ip: f.nextIP(), zone: m["zone"].(string)}
 	for _, k := range [][2]string{{"listen", "bind"}, {"http", "bind_http"}} {
-		at := f.take()
+		at := p.at(f.take())
 		f.link(p, m[k[0]].(string), at)
 		m[k[1]] = at
 		p.http = at
@@ -310,7 +329,10 @@
 		return err
 	}
 	p.folder, _ = m["data_folder"].(string)
-	p.args = []string{"--boot", file}
+	p.args, p.boot = []string{"--boot", file}, file
+	f.mu.Lock()
+	f.zones[m["http"].(string)] = p.zone
+	f.mu.Unlock()
 	f.add(p)
 	return nil
 }
@@ -337,7 +359,8 @@
 
 // Burden is what callers of the shape do, so many sessions and queries a second.
 func (f *Fleet) Burden(sessions int, rate float64, seed uint64) callers.Burden {
-	b := callers.Burden{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes}
+	b := callers.Burden{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes,
+		Zones: f.Shape.Parts[0].Zones, Zone: f.zoneOf}
 	for _, p := range f.Shape.Parts {
 		for _, g := range p.Groups {
 			b.Classes[p.Partner+"/"+g] = map[string]string{"current": p.Classes[0], "stale": p.Classes[1], "pinned": p.Classes[2]}
@@ -559,6 +582,19 @@
 // Close ends every process.
 func (f *Fleet) Close() error { return f.clean.Run() }
 
+// zoneOf is the zone of the pool node at a callers' address.
+func (f *Fleet) zoneOf(node string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zones[node]
+}
+
+// Callers starts callers that faults can crowd and move; Go sends the burden.
+func (f *Fleet) Callers(b callers.Burden) *callers.Run {
+	f.burden = callers.New(b)
+	return f.burden
+}
+
 // Describe prints how the fleet can be reached.
 func (f *Fleet) Describe(w io.Writer) {
 	var ts []string
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
+	"stoneford/bookings"
+	"stoneford/control"
 	"stoneford/result"
 	"stoneford/standin/callers"
 	"stoneford/standin/fleet"
@@ -14,6 +17,11 @@
 
 // started is a small fleet of real processes with all nodes ready.
 func started(t *testing.T, machines int) (context.Context, *fleet.Fleet) {
+	t.Helper()
+	return shaped(t, "small", machines)
+}
+
+func shaped(t *testing.T, shape string, machines int) (context.Context, *fleet.Fleet) {
 	t.Helper()
 	ctx, stop := context.WithTimeout(context.Background(), 3*time.Minute)
 	t.Cleanup(stop)
@@ -22,7 +30,7 @@
 	if err := fleet.Build(ctx, "../..", bin); err != nil {
 		t.Fatal(err)
 	}
-	sh := fleet.Shapes["small"]
+	sh := fleet.Shapes[shape]
 	sh.Machines = machines
 	f, err := fleet.New(sh, bin, dir)
 	if err != nil {
@@ -105,3 +113,118 @@
 		t.Errorf("the configuration reads back as %d revision %d (%v)", s.Code, s.Revision, err)
 	}
 }
+
+// TestTwoPartnersMoveByLanguage: two partners' fleets on one pool, real processes
+// under burden. A copy of one is booked for replacement by the other, confirmed by
+// its owner alone, and carried out, then its primary is switched; meanwhile a disk
+// machine is lost whole, one way between two processes is cut, callers change zones,
+// a crowd comes, and boot files are rewritten well, badly and half.
+func TestTwoPartnersMoveByLanguage(t *testing.T) {
+	ctx, f := shaped(t, "two", 4)
+	lctx, end := context.WithCancel(ctx)
+	defer end()
+	b := f.Burden(16, 40, 3)
+	r := f.Callers(b)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Go(lctx) })
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		if err := fleet.Until(ctx, 2*time.Minute, func() error {
+			if !ok() {
+				return context.DeadlineExceeded
+			}
+			return nil
+		}); err != nil {
+			t.Fatal("waited in vain: ", what)
+		}
+	}
+	acked := func() {
+		t.Helper()
+		at := time.Now().UnixMicro()
+		for _, rt := range b.Routes {
+			until("a write on "+rt, func() bool { return r.FirstAckAfter(rt, at) > 0 })
+		}
+	}
+	do := func(a, target string, v int64) {
+		t.Helper()
+		if _, err := f.Do(ctx, fleet.Fault{Action: a, Target: target, Value: v}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	move := func(what string) {
+		t.Helper()
+		var id uint64
+		until("booking "+what, func() bool {
+			v, err := f.Operators("lender").Say(ctx, "book "+what+" at "+time.Now().UTC().Format("2006-01-02 15:04"))
+			if err == nil && v.Code == result.OK {
+				id = v.Bookings[0].Id
+			}
+			return id > 0
+		})
+		confirm := func(who string) result.Code {
+			v, err := f.Operators(who).Say(ctx, fmt.Sprintf("confirm booking %d", id))
+			if err != nil {
+				return result.NoVoterMajority
+			}
+			return v.Code
+		}
+		until("the other partner's bounce", func() bool { return confirm("lender") == result.NotOwner })
+		until("the owner's confirmation", func() bool { c := confirm("pharmacies"); return c == result.OK || c == result.WrongState })
+		until(what, func() bool {
+			v, err := f.Operators("pharmacies").Say(ctx, "what is booked today for pharmacies")
+			for _, b := range v.Bookings {
+				if err == nil && b.Id == id {
+					return b.State == bookings.Done
+				}
+			}
+			return false
+		})
+	}
+	acked()
+	move("inventory-1-c for replacement")
+	acked()
+	move("the primary of inventory-1 for switch")
+	acked()
+	do("wipe-machine", "2", 0)
+	acked()
+	do("start-machine", "2", 0)
+	until("control-2 votes again", func() bool { return f.Ready(ctx, "control-2") == nil })
+	do("cut-way", "pool-1>control-1", 0)
+	do("cut-way", "control-3>pool-3", 0)
+	do("move", "all", 0)
+	do("crowd", "all", 3)
+	for v := range int64(4) {
+		do("boot", "pool-1", v%3)
+		do("boot", "control-1", 2-v%3)
+	}
+	do("boot", "pool-1", 3)
+	do("boot", "control-1", 3)
+	acked()
+	do("mend", "pool-1", 0)
+	do("mend", "control-3", 0)
+	do("roll", "controls", 0)
+	acked()
+	end()
+	wg.Wait()
+	logs, err := f.Logs(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := r.Checker.Check(logs)
+	for _, b := range append(v.Violations, f.Died()...) {
+		t.Error(b)
+	}
+	if v.Acked < 100 {
+		t.Errorf("only %d writes were acknowledged: the run shows little", v.Acked)
+	}
+	for _, p := range []string{"pharmacies", "lender"} {
+		var s control.Reply
+		until("reading back", func() bool {
+			s, err = f.Operators(p).Configuration(ctx, false)
+			return err == nil && s.Code == result.OK
+		})
+		if s.Revision != 1 {
+			t.Errorf("%s reads back revision %d", p, s.Revision)
+		}
+	}
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -17,18 +17,25 @@
 	l      net.Listener // nil while nobody listens
 	mu     sync.Mutex
 	cond   *sync.Cond
-	cut    bool
+	cuts   map[Way]bool
 	loss   float64
 	conns  map[net.Conn]bool
 	closed bool
 }
 
+// Way is a direction on a link: what comes to its process, or what its process
+// returns, of the connections from one IP or, where that is empty, from all.
+type Way struct {
+	Back bool
+	From string
+}
+
 // again is how late a lost packet's second sending arrives.
 const again = 200 * time.Millisecond
 
 // New makes a link from an address to a target; Up has it listen.
 func New(addr, target string) *Link {
-	k := &Link{addr: addr, target: target, conns: map[net.Conn]bool{}}
+	k := &Link{addr: addr, target: target, cuts: map[Way]bool{}, conns: map[net.Conn]bool{}}
 	k.cond = sync.NewCond(&k.mu)
 	return k
 }
@@ -68,7 +75,8 @@
 
 func (k *Link) relay(c net.Conn) {
 	defer c.Close()
-	if !k.open() {
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	if !k.open(false, from) {
 		return
 	}
 	t, err := net.DialTimeout("tcp", k.target, time.Second)
@@ -88,8 +96,8 @@
 	k.conns[c], k.conns[t] = true, true
 	k.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { k.pass(t, c) })
-	wg.Go(func() { k.pass(c, t) })
+	wg.Go(func() { k.pass(t, c, false, from) })
+	wg.Go(func() { k.pass(c, t, true, from) })
 	wg.Wait()
 	k.mu.Lock()
 	delete(k.conns, c)
@@ -103,22 +111,22 @@
 	return k.l != nil
 }
 
-// open waits while the link is cut; false says that it was closed meanwhile.
-func (k *Link) open() bool {
+// open waits while a way is cut; false says that the link was closed meanwhile.
+func (k *Link) open(back bool, from string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for k.cut && !k.closed {
+	for (k.cuts[Way{back, ""}] || k.cuts[Way{back, from}]) && !k.closed {
 		k.cond.Wait()
 	}
 	return !k.closed
 }
 
-func (k *Link) pass(to, from net.Conn) {
+func (k *Link) pass(to, from net.Conn, back bool, ip string) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
 		if n > 0 {
-			if !k.open() {
+			if !k.open(back, ip) {
 				return
 			}
 			k.mu.Lock()
@@ -142,11 +150,23 @@
 	}
 }
 
-// Cut stops everything on the way, as a broken cable does: nothing is closed.
-func (k *Link) Cut(cut bool) {
+// Cut stops everything on a way, as a broken cable does: nothing is closed.
+func (k *Link) Cut(w Way, cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if cut {
+		k.cuts[w] = true
+	} else {
+		delete(k.cuts, w)
+	}
+	k.cond.Broadcast()
+}
+
+// Mend ends every cut.
+func (k *Link) Mend() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.cut = cut
+	k.cuts = map[Way]bool{}
 	k.cond.Broadcast()
 }
 
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -163,7 +163,7 @@
 	}()
 	burden := f.Burden(ses, rate, c.Uint64("seed"))
 	burden.Nodes = func() []string { mu.Lock(); defer mu.Unlock(); return nodes }
-	r := callers.New(burden)
+	r := f.Callers(burden)
 	began := time.Now()
 	var wg sync.WaitGroup
 	ats := make([]int64, len(fs))
