A holder that was not the only one does not hand its duty on as such

Cause: 'handed on' lets a successor act at once, since the holder before it has stopped. A holder that had taken the duty by a ballot a moment ago, and left before the one before it had surely ended, handed it on all the same: two divide permits at once.

Such a holder now names its successor without that word, and the successor waits its 2.2 s.

--- a/control/core.go
+++ b/control/core.go
@@ -583,7 +583,7 @@
 func (c *Core) given(key string, now int64) *schema.Grants {
 	g := c.groups[strings.TrimPrefix(key, dutyPrefix)]
 	_, term := c.duty.HeldUs(key, now)
-	if g == nil || g.holder == nil || g.term != term || !c.duty.Exclusive(key, now) || !g.holder.Whole(now) {
+	if g == nil || g.holder == nil || g.term != term || !g.holder.Whole(now) {
 		return nil
 	}
 	return g.holder.Grants(now)
--- a/duties/duties.go
+++ b/duties/duties.go
@@ -39,6 +39,7 @@
 	since    int64 // this process has held it since
 	open     int64 // since when it has had no living holder
 	leaving  bool
+	only     bool           // it was surely the only holder when it left
 	told     *schema.Grants // what the successor is told
 }
 
@@ -160,11 +161,16 @@
 		}
 		if d.leaving && d.mine(u) && u.known {
 			if n := d.successor(k, alive); n != "" {
-				if !u.leaving && d.grants != nil {
-					u.told = d.grants(k, now)
+				if !u.leaving {
+					// Handed on says that nobody acts any more: not so while the
+					// holder before this one still may.
+					u.only = d.Exclusive(k, now)
+					if d.grants != nil && u.only {
+						u.told = d.grants(k, now)
+					}
 				}
 				u.leaving = true // from here on it gives nothing any more
-				d.put(&fx, now, u, &schema.DutyState{Holder: n, Term: u.state.Term + 1, Handed: true, Grants: u.told})
+				d.put(&fx, now, u, &schema.DutyState{Holder: n, Term: u.state.Term + 1, Handed: u.only, Grants: u.told})
 				continue
 			}
 		}
