--- a/bootfile/bootfile.go
+++ b/bootfile/bootfile.go
@@ -15,6 +15,7 @@
 
 	"github.com/urfave/cli/v3"
 	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
 	"stoneford/schema"
 	"stoneford/settings"
@@ -92,14 +93,15 @@
 }
 
 // Watch calls changed with each new reading of the file that differs from the
-// one before, until the context ends. It looks once a second at the file's
-// text itself: times and sizes can stay the same over a change.
-func Watch(ctx context.Context, c *cli.Command, changed func(*schema.Boot, error)) {
+// one before, the first of which is known, until the context ends. It looks once
+// a second at the file's text itself: times and sizes can stay the same over a
+// change.
+func Watch(ctx context.Context, c *cli.Command, known *schema.Boot, changed func(*schema.Boot, error)) {
 	p := c.String("boot")
 	if p == "" {
 		return
 	}
-	old, _ := os.ReadFile(p)
+	var old []byte
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for {
@@ -108,11 +110,18 @@
 			return
 		case <-t.C:
 		}
-		b, err := os.ReadFile(p)
-		if err != nil || slices.Equal(b, old) {
+		text, err := os.ReadFile(p)
+		if err != nil || slices.Equal(text, old) {
+			continue
+		}
+		old = text
+		b, err := Read(c)
+		if err == nil && proto.Equal(b, known) {
 			continue
 		}
-		old = b
-		changed(Read(c))
+		if err == nil {
+			known = b
+		}
+		changed(b, err)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,7 +44,7 @@
 		}
 		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 		defer stop()
-		go bootfile.Watch(ctx, c, func(b *schema.Boot, err error) {
+		go bootfile.Watch(ctx, c, b, func(b *schema.Boot, err error) {
 			if err != nil {
 				log.WithFields(log.Fields{"code": int(result.BootInvalid)}).WithError(err).Error(result.BootInvalid.String())
 				return
