--- a/control/operators.go
+++ b/control/operators.go
@@ -56,9 +56,9 @@
 
 // partner is whose token came with a query.
 func (p *Process) partner(w http.ResponseWriter, r *http.Request) (string, bool) {
-	t, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	t, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	n, ok := (*p.tokens.Load())[t]
-	if !ok || t == "" {
+	if !ok || !bearer || t == "" {
 		give(w, Reply{Code: result.BadOperatorToken})
 		return "", false
 	}
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -126,3 +126,36 @@
 		t.Error("the runs show little")
 	}
 }
+
+// Two candidates over one register: one takes the duty, leaves and names the
+// other, which acts at once.
+func Example() {
+	reg, n := &register{}, 0
+	name := func() string { n++; return fmt.Sprint(n) }
+	alive := func(string) bool { return true }
+	ds := []*Duties{New("a", 1, []string{"a", "b"}, name, nil), New("b", 1, []string{"a", "b"}, name, nil)}
+	run := func(from, until int64) {
+		for now := from; now < until; now += 100_000 {
+			for _, d := range ds {
+				for _, ch := range d.Tick(now, alive).Changes {
+					d.Outcome(now, reg.put(ch))
+				}
+			}
+		}
+	}
+	for _, d := range ds {
+		d.Want([]string{"sweep"})
+	}
+	run(1_000_000, 5_000_000)
+	first, second := ds[0], ds[1]
+	if second.Exclusive("sweep", 5_000_000) {
+		first, second = second, first
+	}
+	fmt.Println(first.Exclusive("sweep", 5_000_000), second.Exclusive("sweep", 5_000_000))
+	first.Leave()
+	run(5_000_000, 6_000_000)
+	fmt.Println(first.Exclusive("sweep", 6_000_000), second.Exclusive("sweep", 6_000_000))
+	// Output:
+	// true false
+	// false true
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -73,3 +73,20 @@
 		}
 	}
 }
+
+// FuzzRead: no file ends the process, and what is bounced names the file.
+func FuzzRead(f *testing.F) {
+	good := rec("2026-11-30T08:00:01.000Z", "POST", "/v1/sessions", `{"route":"a/b"}`, `{"session":"x"}`)
+	for _, s := range []string{`{"log":{"entries":[` + good + `]}}`, `{"log":{"entries":[null]}}`, `{"log":null}`, `[]`, ``, `{"log":{"entries":[{"request":{"url":"%zz"},"startedDateTime":"x"}]}}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p := filepath.Join(t.TempDir(), "day.har")
+		if err := os.WriteFile(p, b, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(p); err != nil && !strings.Contains(err.Error(), "day.har") {
+			t.Errorf("%q: %v", b, err)
+		}
+	})
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
+	"google.golang.org/protobuf/proto"
 )
 
 // TestEveryErrorIsTold: one reading lists all errors, by field.
@@ -37,3 +39,30 @@
 		}
 	}
 }
+
+// FuzzReadConfiguration: no text ends the process; what passes says the same when
+// it is written out and read again.
+func FuzzReadConfiguration(f *testing.F) {
+	for _, s := range []string{`{}`, `null`, `{"classes":{"lookup":{"kind":"stale","stale_us":1e3}}}`, `{"databases":{"a":{"address":"10.0.0.1:1","zone":"c","connections":99999999999999999999}}}`,
+		`{"routes":{"r":{"group":null,"classes":[null,{}]}}}`, `{"time_zone":"../../etc/passwd"}`, `{"classes":{"":{"kind":"pinned"}}}`, `{"classes":{"x":{"kind":"stale"},"x":{"kind":"pinned"}}}`, strings.Repeat(`{"a":`, 5000)} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, ps := ReadConfiguration(b)
+		if len(ps) > 0 {
+			for _, p := range ps {
+				if p.Text == "" {
+					t.Errorf("%q: a problem without a text at %q", b, p.Field)
+				}
+			}
+			return
+		}
+		w, err := Write(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, ps := ReadConfiguration(w); len(ps) > 0 || !proto.Equal(again, c) {
+			t.Errorf("%q reads back as %v %v", b, again, ps)
+		}
+	})
+}
--- a/standin/fleet/callers_test.go
+++ b/standin/fleet/callers_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"stoneford/result"
 	"stoneford/standin/fleet"
@@ -144,3 +147,100 @@
 	}
 	return string(b)
 }
+
+// FuzzParseFaults: a schedule that passes is the same when it is written out and
+// read again.
+func FuzzParseFaults(f *testing.F) {
+	for _, s := range []string{"10s:kill:primary@inventory-1,20s:lag:inventory-1-b:400000", "1s:cut-way:pool-1>control-1", "", ",,", "1s:eat:x", "x:kill:y", "1s:kill", "1s:lag:x:99999999999999999999"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		fs, err := fleet.ParseFaults(s)
+		if err != nil {
+			return
+		}
+		var ts []string
+		for _, x := range fs {
+			ts = append(ts, x.String())
+		}
+		again, err := fleet.ParseFaults(strings.Join(ts, ","))
+		if err != nil || !slices.Equal(again, fs) {
+			t.Errorf("%q: %v, then %v %v", s, fs, again, err)
+		}
+	})
+}
+
+// TestBadInputOfOperators: what is wrong with it is told by its own code and takes
+// no effect; nothing of one partner is open to the other.
+func TestBadInputOfOperators(t *testing.T) {
+	ctx, f := shaped(t, "two", 3)
+	ops := f.Operators("pharmacies").Addresses
+	do := func(method, path, token, body string) (int, result.Code) {
+		t.Helper()
+		var code result.Code
+		status := 0
+		if err := fleet.Until(ctx, time.Minute, func() error {
+			rq, err := http.NewRequestWithContext(ctx, method, "http://"+ops[0]+path, strings.NewReader(body))
+			if err != nil {
+				return err
+			}
+			rq.Header.Set("Authorization", token)
+			rs, err := http.DefaultClient.Do(rq)
+			if err != nil {
+				return err
+			}
+			defer rs.Body.Close()
+			var v struct {
+				Code result.Code `json:"code"`
+			}
+			status = rs.StatusCode
+			if err := json.NewDecoder(rs.Body).Decode(&v); err != nil {
+				return err
+			}
+			if code = v.Code; code == result.NoVoterMajority {
+				return errors.New("no majority yet")
+			}
+			return nil
+		}); err != nil {
+			t.Fatalf("%s %s: %v", method, path, err)
+		}
+		return status, code
+	}
+	const mine, theirs = "Bearer pharmacies-token", "Bearer lender-token"
+	patch := `{"based_on":1,"configuration":{"routes":{"inventory-1":{"line":10}}}}`
+	for _, c := range []struct {
+		method, path, token, body string
+		want                      result.Code
+	}{
+		{"GET", "/v1/configuration", "", "", result.BadOperatorToken},
+		{"GET", "/v1/configuration", "Bearer nobody", "", result.BadOperatorToken},
+		{"GET", "/v1/configuration?partner=lender", mine, "", result.NotOwner},
+		{"PATCH", "/v1/configuration", "pharmacies-token", patch, result.BadOperatorToken},
+		{"PUT", "/v1/configuration", mine, `{"based_on":1,"configuration":`, result.OperatorBadJSON},
+		{"PUT", "/v1/configuration", mine, `{"based_on":"one","configuration":{}}`, result.OperatorBadJSON},
+		{"PUT", "/v1/configuration", mine, `{"based_on":1,"configuration":{},"and":2}`, result.OperatorBadJSON},
+		{"PATCH", "/v1/configuration", mine, `{"based_on":1,"configuration":[1,2]}`, result.InvalidConfiguration},
+		{"PATCH", "/v1/configuration", mine, `{"based_on":1,"configuration":{"routes":{"inventory-1":{"line":0}}}}`, result.InvalidConfiguration},
+		{"PATCH", "/v1/configuration", mine, `{"based_on":1,"configuration":{"routes":{"x":{"group":"ledger-1","classes":["reserve"]}}}}`, result.InvalidConfiguration},
+		{"PATCH", "/v1/configuration", mine, `{"based_on":7,"configuration":{}}`, result.LosingRevision},
+		{"PATCH", "/v1/configuration", theirs, patch, result.InvalidConfiguration},
+		{"POST", "/v1/say", mine, `{"text":3}`, result.OperatorBadJSON},
+		{"POST", "/v1/say", mine, `{"text":"` + strings.Repeat("book ", 20_000) + `"}`, result.OperatorBadJSON},
+		{"POST", "/v1/say", mine, `{"text":"sing"}`, result.NotUnderstood},
+		{"POST", "/v1/say", mine, `{"text":"confirm booking 1"}`, result.NoSuchThing},
+		{"POST", "/v1/say", mine, `{"text":"why are reads of ledger-1"}`, result.NoSuchThing},
+		{"GET", "/v1/nothing", mine, "", result.UnknownPath},
+	} {
+		if status, got := do(c.method, c.path, c.token, c.body); got != c.want || status < 400 {
+			t.Errorf("%s %s %.60s: %d, status %d, not %d", c.method, c.path, c.body, got, status, c.want)
+		}
+	}
+	for _, p := range []string{"pharmacies", "lender"} {
+		if r, err := f.Operators(p).Configuration(ctx, false); err != nil || r.Revision != 1 {
+			t.Errorf("%s is at revision %d (%v)", p, r.Revision, err)
+		}
+	}
+	for _, d := range f.Died() {
+		t.Error(d)
+	}
+}
--- a/whatif/whatif_test.go
+++ b/whatif/whatif_test.go
@@ -61,3 +61,15 @@
 		t.Error("a place that is not there is taken")
 	}
 }
+
+// FuzzParse: no sentence ends the process; what is not understood says what is.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"the Cluj replica out", "replication lags 2 s", "burden x1e9", "connections 0", "half the connections", "zone cluj gone", "slow a 99999999999999999999 ms", ""} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		if _, err := Parse(s); err != nil && err.Error() == "" {
+			t.Errorf("%q", s)
+		}
+	})
+}
