--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -32,6 +32,7 @@
 	Connections   int32
 	Sessions      int
 	TickUs        int64 // pause between two ticks of a group, 0 for 50 ms
+	StepUs        int64 // pause between two steps of a node that hears nothing, 0 for 10 ms
 	DayUs         int64 // length of a day whose curve the callers follow, 0 for none
 	ThinkUs       int64 // mean pause of a session between two things it does
 	ServiceUs     int64 // mean time of a run
@@ -157,7 +158,7 @@
 	if p.Partner == "" {
 		p.Partner = "pharmacies"
 	}
-	p.TickUs = cmp.Or(p.TickUs, 50_000)
+	p.TickUs, p.StepUs = cmp.Or(p.TickUs, 50_000), cmp.Or(p.StepUs, 10_000)
 	f := &Fleet{World: w, Cf: &schema.Configuration{}, owner: map[string]string{}, texts: map[string][]byte{}, class: map[string]map[string]string{}, zones: map[string]string{},
 		Net: NewNetwork(w), DBs: map[string]*DB{}, byAddr: map[string]*DB{}, returns: map[uint64]func(control.Return){}, told: map[uint64]func(control.Told){},
 		plat: map[string]uint64{}, platT: map[string]string{}, applied: map[string]uint64{}, lastTag: map[string]string{}, lastRead: map[string]string{}, firsts: map[string]*schema.Value{}, PlatformUs: 5_000}
@@ -499,7 +500,7 @@
 	n.core = pool.NewCore(n.boot, n.run)
 	n.tables, n.routes = map[string]*querytable.Table{}, map[string]pool.Route{}
 	n.waiters, n.wanted, n.leftAt = map[uint64]func(querytable.Return){}, map[string]querytable.Wanted{}, map[string]int64{}
-	f.ticks(&n.life, 10_000, func() {
+	f.ticks(&n.life, f.Plan.StepUs, func() {
 		var said []any
 		for _, k := range slices.Sorted(maps.Keys(n.tables)) {
 			f.stepTable(n, k, querytable.Tick{})
