A fleet of two revisions, rolled up and down under burden

The runner takes a folder with the programs of an earlier revision (--older) and has actions to upgrade and downgrade one process.

--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -51,6 +51,8 @@
 	"kill-machine":   "machine N: kill its control process and its pool node at once",
 	"wipe-machine":   "the same, and its disk is lost",
 	"start-machine":  "start both again",
+	"upgrade":        "with --older: stop it with its grace and start it with this revision's program",
+	"downgrade":      "the same with the earlier revision's",
 	"roll":           "restart every process of a kind in turn: pools or controls",
 	"boot":           "rewrite the boot file with no signal: 0 well, 1 half-written, 2 with a wrong value, 3 as it was",
 	"crowd":          "callers: so many times the sessions come within a second, for 4 s (the target is any word)",
@@ -140,6 +142,13 @@
 		return n, f.start(p)
 	case "stop":
 		p.signal(syscall.SIGTERM, true)
+	case "upgrade", "downgrade":
+		if f.older == "" {
+			return n, errors.New("there are no programs of an earlier revision")
+		}
+		p.signal(syscall.SIGTERM, true)
+		p.older = ft.Action == "downgrade"
+		return n, f.start(p)
 	case "restart":
 		p.signal(syscall.SIGTERM, true)
 		return n, f.start(p)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -112,6 +112,7 @@
 	args   []string
 	folder string // its data folder, wiped when it is lost for good
 	http   string // where the runner itself reaches it, past its links
+	older  bool   // runs the programs of an earlier revision
 	ip     string // where its connections come from
 	boot   string // its boot file
 	zone   string
@@ -127,6 +128,7 @@
 type Fleet struct {
 	Shape    Shape
 	bin      string
+	older    string // programs of an earlier revision, "" for none
 	folder   string
 	procs    map[string]*proc
 	order    []string
@@ -376,7 +378,11 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command(filepath.Join(f.bin, p.kind), p.args...)
+	bin := f.bin
+	if p.older {
+		bin = f.older
+	}
+	c := exec.Command(filepath.Join(bin, p.kind), p.args...)
 	c.Stdout, c.Stderr = lf, lf
 	if err := c.Start(); err != nil {
 		lf.Close()
@@ -423,6 +429,16 @@
 	}
 }
 
+// Older has every process of ours begin with the programs in a folder, of an
+// earlier revision, but the control process that operators ask first: their paths
+// are those of this revision.
+func (f *Fleet) Older(bin string) {
+	f.older = bin
+	for n, p := range f.procs {
+		p.older = strings.HasPrefix(p.kind, "stoneford-") && n != "control-1"
+	}
+}
+
 // Start starts every process and puts the configuration in force.
 func (f *Fleet) Start(ctx context.Context) error {
 	pctx, end := context.WithCancel(context.Background())
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -71,6 +71,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.StringFlag{Name: "faults", Usage: "AT:ACTION:TARGET[:VALUE], separated by commas; a target is a process, primary@GROUP or replica@GROUP"},
 			&cli.StringFlag{Name: "folder", Usage: "where boot files, logs and data go (default: a new one, removed at the end unless something is wrong)"},
+			&cli.StringFlag{Name: "older", Usage: "folder with the programs of an earlier revision, which all but control-1 begin with"},
 			&cli.BoolFlag{Name: "hold", Usage: "send no burden; keep the fleet up until interrupted and print how to reach it"},
 		},
 		Action: run,
@@ -124,6 +125,9 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
+	if o := c.String("older"); o != "" {
+		f.Older(o)
+	}
 	t0 := time.Now()
 	if err := f.Start(ctx); err != nil {
 		return err
