Idle sessions are looked over once a second, and no count is made in vain

Cause, by the same profile: each step went over all sessions for one that had been idle for an hour, over all connections three times where nobody waited for one, and the check of the ties counted connections by database and never looked at the sum.

--- a/querytable/members.go
+++ b/querytable/members.go
@@ -309,6 +309,10 @@
 			}
 		}
 	})
+	if now < t.nextIdle {
+		return
+	}
+	t.nextIdle = now + idleEvery
 	for id, s := range t.sessions {
 		if s.busy == 0 && s.conn == 0 && now-s.touched > idleSession {
 			delete(t.sessions, id)
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -286,6 +286,9 @@
 		}
 		want[q.db]++
 	})
+	if len(want) == 0 {
+		return
+	}
 	for _, m := range t.w.Members {
 		n, opening := 0, 0
 		for _, c := range t.conns {
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -378,6 +378,7 @@
 	counts   Counts
 	decided  []Decision // newest choices, in a ring
 	decideAt int
+	nextIdle int64 // when sessions are looked over for long idle ones
 	outage   int64 // since when the primary takes nothing new, 0 while it does
 	usualUs  int64 // how long that usually lasts
 }
@@ -411,6 +412,7 @@
 	idleConn     = 10_000_000
 	idleTx       = 10_000_000
 	idleSession  = 3_600_000_000
+	idleEvery    = 1_000_000
 	openBackoff  = 50_000
 	settleWait   = 2_000_000
 	lineWait     = 1_000_000 // longest a query waits for a connection, beside what its class lets it wait for a copy
@@ -535,9 +537,7 @@
 // check holds the table's invariants; breaking one is a defect, and going on
 // would be worse than stopping (design 7.6).
 func (t *Table) check() {
-	per := map[string]int{}
 	for id, c := range t.conns {
-		per[c.db]++
 		if c.query != 0 {
 			q := t.queries[c.query]
 			if q == nil || q.conn != id {
