--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -55,6 +55,7 @@
 	"downgrade":      "the same with the earlier revision's",
 	"roll":           "restart every process of a kind in turn: pools or controls",
 	"boot":           "rewrite the boot file with no signal: 0 well, 1 half-written, 2 with a wrong value, 3 as it was",
+	"configure":      "the partner's operators send a change; all processes have to work by it",
 	"crowd":          "callers: so many times the sessions come within a second, for 4 s (the target is any word)",
 	"move":           "callers: those of a zone, or of all, go on in another zone",
 	"reset":          "reset every connection to the process",
@@ -97,6 +98,9 @@
 	switch ft.Action {
 	case "join":
 		return f.Join()
+	case "configure":
+		took, err := f.Configure(ctx, n, 300+int64(ft.At/time.Millisecond)%300)
+		return fmt.Sprintf("%s, in force everywhere after %d ms", n, took.Milliseconds()), err
 	case "crowd":
 		f.burden.Crowd(int(ft.Value), 4*time.Second)
 		return n, nil
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,6 +25,7 @@
 	"stoneford/control"
 	"stoneford/databaseclient"
 	"stoneford/operators"
+	"stoneford/result"
 	"stoneford/standin/callers"
 	"stoneford/standin/databasecopy"
 	"stoneford/standin/link"
@@ -605,6 +608,107 @@
 	return f.zones[node]
 }
 
+// CPU is the processor time of our living processes so far, by kind, as the
+// kernel accounts it.
+func (f *Fleet) CPU() map[string]time.Duration {
+	m := map[string]time.Duration{}
+	for _, n := range f.order {
+		p := f.procs[n]
+		p.mu.Lock()
+		c := p.cmd
+		p.mu.Unlock()
+		if c == nil || !strings.HasPrefix(p.kind, "stoneford-") {
+			continue
+		}
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.Process.Pid))
+		if err != nil {
+			continue // it is down just now
+		}
+		fs := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+		for _, t := range fs[11:13] { // user and system time, in hundredths of a second
+			if v, err := strconv.ParseInt(t, 10, 64); err == nil {
+				m[p.kind] += time.Duration(v) * 10 * time.Millisecond
+			}
+		}
+	}
+	return m
+}
+
+// Counters are the pool nodes' counts of queries, status polls and envelopes.
+type Counters struct{ Queries, Polls, Sent float64 }
+
+// Counters sums what all pool nodes counted so far.
+func (f *Fleet) Counters(ctx context.Context) (c Counters) {
+	for _, n := range f.order {
+		p := f.procs[n]
+		if p.kind != "stoneford-pool" {
+			continue
+		}
+		var v struct {
+			Groups map[string]struct {
+				Counts struct{ Queries, Polls float64 }
+			}
+			Links map[string]float64
+		}
+		rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.http+"/v1/counts", nil)
+		if err != nil {
+			continue
+		}
+		r, err := http.DefaultClient.Do(rq)
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(r.Body).Decode(&v)
+		r.Body.Close()
+		if err != nil {
+			continue
+		}
+		for _, g := range v.Groups {
+			c.Queries, c.Polls = c.Queries+g.Counts.Queries, c.Polls+g.Counts.Polls
+		}
+		c.Sent += v.Links["sent"]
+	}
+	return c
+}
+
+// Configure sends a change of a partner's and returns how long after its
+// acceptance every process that is up works by it, as they report themselves.
+func (f *Fleet) Configure(ctx context.Context, partner string, line int64) (time.Duration, error) {
+	o := f.Operators(partner)
+	r, err := o.Configuration(ctx, false)
+	if err != nil {
+		return 0, err
+	}
+	var g string
+	for _, p := range f.Shape.Parts {
+		if p.Partner == partner {
+			g = p.Groups[0]
+		}
+	}
+	r, err = o.Change(ctx, r.Revision, fmt.Appendf(nil, `{"routes":{%q:{"line":%d}}}`, g, line), true, false)
+	if err != nil || r.Code != result.OK {
+		return 0, fmt.Errorf("the change ended as %d: %w", r.Code, err)
+	}
+	at := time.Now()
+	err = Until(ctx, 30*time.Second, func() error {
+		a, err := o.Configuration(ctx, true)
+		if err != nil {
+			return err
+		}
+		n := 0
+		for _, rev := range a.Applied {
+			if rev >= r.Revision {
+				n++
+			}
+		}
+		if n < len(f.nodes)+3 {
+			return fmt.Errorf("%d of %d processes work by revision %d", n, len(f.nodes)+3, r.Revision)
+		}
+		return nil
+	})
+	return time.Since(at), err
+}
+
 // Callers starts callers that faults can crowd and move; Go sends the burden.
 func (f *Fleet) Callers(b callers.Burden) *callers.Run {
 	f.burden = callers.New(b)
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -56,6 +56,9 @@
 	PerSecond []string           `json:"served_of_sent_per_second"`
 	Faults    []fault            `json:"faults,omitempty"`
 	Check     checker.Verdict    `json:"check"`
+	CPU       map[string]float64 `json:"cpu_us_per_query"` // by kind of process
+	Polls     float64            `json:"status_polls_per_query"`
+	Envelopes float64            `json:"envelopes_of_nodes_per_query"`
 	Died      []string           `json:"ended_by_themselves,omitempty"`
 }
 
@@ -168,6 +171,7 @@
 	burden := f.Burden(ses, rate, c.Uint64("seed"))
 	burden.Nodes = func() []string { mu.Lock(); defer mu.Unlock(); return nodes }
 	r := f.Callers(burden)
+	cpu, counts := f.CPU(), f.Counters(ctx)
 	began := time.Now()
 	var wg sync.WaitGroup
 	ats := make([]int64, len(fs))
@@ -191,6 +195,15 @@
 	}
 	r.Go(lctx)
 	took := time.Since(began)
+	// Processes that were started anew in between count from there on.
+	rep.CPU = map[string]float64{}
+	after := f.Counters(ctx)
+	if q := after.Queries - counts.Queries; q > 0 {
+		for k, d := range f.CPU() {
+			rep.CPU[k] = float64((d - cpu[k]).Microseconds()) / q
+		}
+		rep.Polls, rep.Envelopes = (after.Polls-counts.Polls)/q, (after.Sent-counts.Sent)/q
+	}
 	wg.Wait()
 	if err := errors.Join(ferrs...); err != nil {
 		return err
