--- a/simulation/day_test.go
+++ b/simulation/day_test.go
@@ -42,7 +42,9 @@
 	}
 	if *dayHours > 0 {
 		n, length, faults = 1, int64(*dayHours*3600e6), 60_000_000
-		change = func(p *simulation.Plan) { p.Machines, p.Sessions, p.ThinkUs, p.TickUs, p.StepUs = 3, 12, 5_000_000, 500_000, 50_000 }
+		change = func(p *simulation.Plan) {
+			p.Machines, p.Sessions, p.ThinkUs, p.TickUs, p.StepUs = 3, 12, 5_000_000, 500_000, 50_000
+		}
 	}
 	var mu sync.Mutex
 	queries, acked, unsure, served, moves := 0, 0, 0, 0.0, map[string]int{}
