A read is placed anew only within its waits of its arrival

A read is now placed anew only within the waits it is given (1.25 s by default), and a run of one takes 1 s at the most unless its average is half of that.

--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -66,7 +66,7 @@
 		q.avoid = append(q.avoid, q.db)
 	}
 	t.counts.Replaced++
-	if q.tries > 3 {
+	if q.tries > 3 || now-q.came > q.class.WaitUs+lineWait {
 		t.bounceQuery(now, q, result.NotFresh, retryShort)
 		return
 	}
@@ -75,12 +75,13 @@
 
 // runMost is how long a run may take before its return counts as lost.
 func (t *Table) runMost(q *query) int64 {
-	avg, most := t.avgRun(q.class.Name, q.db), int64(readMost)
+	avg := t.avgRun(q.class.Name, q.db)
+	most := min(max(readMost, 8*avg), max(readSlow, 2*avg))
 	if q.write {
-		most = writeMost
+		most = max(writeMost, 8*avg)
 	}
 	// Near its expiry it would be of no use.
-	return min(max(most, 8*avg), max((q.expiry-q.came)*3/5, 2*avg))
+	return min(most, max((q.expiry-q.came)*3/5, 2*avg))
 }
 
 // passExpiry gives up, at once, what cannot make its expiry any more and what
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -416,7 +416,8 @@
 	openBackoff  = 50_000
 	settleWait   = 2_000_000
 	lineWait     = 1_000_000 // longest a query waits for a connection, beside what its class lets it wait for a copy
-	readMost     = 500_000   // a read that runs so long, and eight times its average, is placed elsewhere
+	readMost     = 500_000   // a read that runs so long, and eight times its average, is placed elsewhere;
+	readSlow     = 1_000_000 // at the latest then, unless its average is half of that or more
 	writeMost    = 2_000_000 // a write that runs so long, and eight times its average, is given up
 	keptReturns  = 8
 	keptChoices  = 256
