One place holds a real fleet's callers against its databases; dead names out

The two tests of real processes shared the last check line by line; a counter and an address in the simulation were never read.

--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -113,9 +113,6 @@
 	until   int64 // it goes then, 0 for never
 }
 
-// caller is the address sessions call from: it is never cut off.
-const caller = "caller"
-
 // Callers starts the sessions and each group's ticks.
 func (f *Fleet) Callers() {
 	f.watchTrouble()
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -598,7 +598,6 @@
 			f.say("it is told %d %s", a.Code, a.Text)
 			return
 		}
-		f.booked++
 		id := a.Bookings[0].Id
 		confirm := func(p string, then func()) {
 			f.Type(c, p, fmt.Sprintf("confirm booking %d", id), func(a control.Told) {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -139,7 +139,6 @@
 	lastTag       map[string]string        // newest acknowledged tag by route
 	lastRead      map[string]string        // newest read by route
 	firsts        map[string]*schema.Value // of each configuration, for a plant
-	booked        int                      // moves booked by randomFault
 }
 
 // Bad notes something that must never happen.
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"stoneford/control"
 	"stoneford/result"
 	"stoneford/standin/callers"
+	"stoneford/standin/checker"
 	"stoneford/standin/fleet"
 )
 
@@ -47,6 +48,20 @@
 	return ctx, f
 }
 
+// held holds what callers were told against what the databases hold.
+func held(ctx context.Context, t *testing.T, f *fleet.Fleet, r *callers.Run) checker.Verdict {
+	t.Helper()
+	logs, err := f.Logs(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := r.Checker.Check(logs)
+	for _, b := range append(v.Violations, f.Died()...) {
+		t.Error(b)
+	}
+	return v
+}
+
 // TestProcessesThroughATakeover runs the small shape as real processes: the
 // primary is killed under burden, and the run goes on until writes are
 // acknowledged again; then the old primary and an emptied control process come
@@ -91,14 +106,7 @@
 	acked(time.Now().UnixMicro())
 	end()
 	wg.Wait()
-	logs, err := f.Logs(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
-	v := r.Checker.Check(logs)
-	for _, b := range append(v.Violations, f.Died()...) {
-		t.Error(b)
-	}
+	v := held(ctx, t, f, r)
 	done := 0
 	for _, s := range r.Samples() {
 		if s.Outcome == result.Done {
@@ -206,20 +214,14 @@
 	acked()
 	end()
 	wg.Wait()
-	logs, err := f.Logs(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
-	v := r.Checker.Check(logs)
-	for _, b := range append(v.Violations, f.Died()...) {
-		t.Error(b)
-	}
+	v := held(ctx, t, f, r)
 	if v.Acked < 100 {
 		t.Errorf("only %d writes were acknowledged: the run shows little", v.Acked)
 	}
 	for _, p := range []string{"pharmacies", "lender"} {
 		var s control.Reply
 		until("reading back", func() bool {
+			var err error
 			s, err = f.Operators(p).Configuration(ctx, false)
 			return err == nil && s.Code == result.OK
 		})
