An order to the platform names the copy it means

The holder asks the platform, again and again, to have the agreed primary lead its epoch. One such order was on its way for seconds while the primary was lost and replaced by an empty copy at its address: the platform promoted that one in the very epoch. It took writes at positions 2 to 4, replicas that hold hundreds vouched for these by position, and once it had followed on, its first entries differed from everyone's; a takeover then chose it.

Ruled out: the booked replacement of the third copy, done before; the takeover's choice, which was right by position and epoch. Logs of one epoch are prefixes of one another (design 8.5) only if one copy ever leads it.

The order carries the identity that was agreed, and a database of another identity bounces its promotion; a node sends nothing to a copy that is not the agreed one, which it did for as long as that one spoke.

--- a/control/core.go
+++ b/control/core.go
@@ -81,10 +81,11 @@
 	}
 	// Platform asks the platform for a takeover.
 	Platform struct {
-		Group   string
-		Target  string
-		Epoch   uint64
-		Members []takeover.Place
+		Group    string
+		Target   string
+		Identity string // of the copy that is meant: no other may be promoted in its place
+		Epoch    uint64
+		Members  []takeover.Place
 	}
 	// Say is for the log.
 	Say struct {
@@ -527,7 +528,7 @@
 			c.ask(now, ballots.Change{Name: c.name(), Key: GroupPrefix + k, Base: e.Base, Data: e.Data, Expiry: now + settingExpiry},
 				func(int64, ballots.Outcome) { g.decider.PutDone() })
 		case takeover.Platform:
-			c.fx.Do = append(c.fx.Do, Platform{Group: k, Target: e.Target, Epoch: e.Epoch, Members: e.Members})
+			c.fx.Do = append(c.fx.Do, Platform{Group: k, Target: e.Target, Identity: e.Identity, Epoch: e.Epoch, Members: e.Members})
 		case takeover.Say:
 			c.say(e.Code, "%s %s", k, e.Text)
 		}
--- a/control/process.go
+++ b/control/process.go
@@ -217,7 +217,7 @@
 		ms[i] = databaseclient.Member(m)
 	}
 	p.tellPlatform("takeover", func(ctx context.Context) error {
-		return p.dbs.Takeover(ctx, p.boot.Platform, d.Group, d.Target, d.Epoch, ms)
+		return p.dbs.Takeover(ctx, p.boot.Platform, d.Group, d.Target, d.Identity, d.Epoch, ms)
 	})
 }
 
--- a/databaseclient/client.go
+++ b/databaseclient/client.go
@@ -152,8 +152,8 @@
 
 // Takeover asks the platform to make the target the group's primary in an
 // epoch and the others its followers.
-func (c *Client) Takeover(ctx context.Context, platform, group, target string, epoch uint64, ms []Member) error {
-	return c.platform(ctx, platform, "takeover", map[string]any{"group": group, "target": target, "epoch": epoch, "members": ms})
+func (c *Client) Takeover(ctx context.Context, platform, group, target, identity string, epoch uint64, ms []Member) error {
+	return c.platform(ctx, platform, "takeover", map[string]any{"group": group, "target": target, "identity": identity, "epoch": epoch, "members": ms})
 }
 
 // Replace asks the platform to put a new, empty database in the place of the
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -12,10 +12,13 @@
 }
 
 // away says that no new query goes to a database: it announced that it leaves,
-// or an agreed move drains it. A primary that is drained goes on with single
+// an agreed move drains it, or it is another copy than the agreed one. A primary that is drained goes on with single
 // statements until its transactions have ended.
 func (t *Table) away(m Member) bool {
 	s := t.members[m.Name]
+	if s != nil && s.other {
+		return true // whatever runs there, nobody agreed on it
+	}
 	if m.Drained && !m.Closed && m.Name == t.w.Primary && s != nil && !s.status.Leaving {
 		return false
 	}
@@ -59,10 +62,11 @@
 	s := e.Status
 	if s.Identity != w.Identity {
 		// A copy on another disk: it counts once that is agreed.
-		m.known = false
+		m.known, m.other = false, true
 		t.fresh.Drop(m.name)
 		return
 	}
+	m.other = false
 	if s.Leaving && m.leaving == 0 {
 		m.leaving = now
 	} else if !s.Leaving && !w.Drained {
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -341,6 +341,7 @@
 	long      uint64
 	next      int64 // when the next plain poll is due
 	leaving   int64 // when leaving was learned, 0 if it is not
+	other     bool  // another copy than the agreed one is there
 	stuck     int64 // since when applied stands still behind the master
 	rateUs    int64
 	rateAt    int64
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -152,6 +152,16 @@
 	}
 }
 
+// SlowControls has each step of every control process take so long.
+func (f *Fleet) SlowControls(us int64) {
+	for _, c := range f.Controls {
+		c.slowUs = us
+	}
+}
+
+// Well says whether a group could bear the loss of a copy.
+func (f *Fleet) Well(group string) bool { return f.groupWell(group) }
+
 // Chosen is the primary that a takeover has agreed on and not yet seen.
 func (f *Fleet) Chosen(group string) string {
 	for _, c := range f.Controls {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -76,6 +76,7 @@
 	RebasedChange           // a losing change is based anew on the newest revision
 	UnsyncedDisk            // a control process that dies loses what it logged last
 	HeldBack                // bounces reach callers only when the query expires
+	UnmeantPromotion        // the platform promotes whatever copy stands at the target's place, and nodes take it for the agreed one
 	PlatformUnasked         // the platform replaces a copy as soon as it is drained
 )
 
@@ -426,7 +427,10 @@
 		if t == nil || !t.talks() {
 			return
 		}
-		if !t.c.Promote(d.Epoch, f.Now) {
+		if f.Plan.Plant == UnmeantPromotion {
+			d.Identity = ""
+		}
+		if !t.c.Promote(d.Epoch, d.Identity, f.Now) {
 			return
 		}
 		t.changed()
@@ -706,6 +710,13 @@
 			case f.Plan.Plant == ClaimedApplied && s.Role == "replica":
 				p.Status.Applied = s.Received
 			}
+			if f.Plan.Plant == UnmeantPromotion {
+				for _, m := range n.wanted[group].Members {
+					if m.Address == e.Address {
+						p.Status.Identity = m.Identity
+					}
+				}
+			}
 			if f.Plan.Plant == UnheardLeaving {
 				p.Status.Leaving = false
 			}
--- a/simulation/never_test.go
+++ b/simulation/never_test.go
@@ -28,6 +28,7 @@
 		{simulation.NothingKeptSaid, "a lost return is told as nothing kept", "was kept after nothing kept was told", 5_000, 16, 5_000_000, lostReturns},
 		{simulation.AckBeforeMajority, "a write is told done before a majority holds it", "is gone", 5_000, 16, 6_000_000, deafReplicas},
 		{simulation.UnsealedTakeover, "a takeover seals nobody", "is gone", 5_000, 200, 4_000_000, halfSeen},
+		{simulation.UnmeantPromotion, "a late order promotes an empty copy in the primary's place", "are kept", 5_000, 40, 8_000_000, lateOrders},
 		{simulation.SkippedEntry, "polls leave the newest commits out", "were acknowledged before it", 300_000, 16, 4_000_000, nil},
 		{simulation.ClaimedApplied, "copies are said to have applied what they hold", "us old", 5_000, 16, 8_000_000, oldCopies},
 		{simulation.TokenForgotten, "a session goes on without its token", "changes of own/", 700_000, 16, 8_000_000, wander},
@@ -140,6 +141,26 @@
 	watch()
 }
 
+// lateOrders: the platform takes seconds, so that orders to have a replaced
+// replica follow are on their way still when the primary is lost and replaced too.
+func lateOrders(f *simulation.Fleet) {
+	g := f.Plan.Groups[0]
+	f.PlatformUs = 3_000_000
+	f.LoseDB(f.Cf.Groups[g].Members[2])
+	f.Run(f.Now + 100_000)
+	var then func()
+	then = func() {
+		if p := f.Primary(g); f.Well(g) {
+			f.SlowControls(300_000) // they see late that another copy is there
+			f.LoseDB(p.Name())
+			f.After(2_500_000, func() { f.SlowControls(0) })
+			return
+		}
+		f.After(2_000, then)
+	}
+	then()
+}
+
 // oldCopies: one replica after another applies nothing for a while, and nodes
 // are frozen meanwhile.
 func oldCopies(f *simulation.Fleet) {
--- a/standin/databasecopy/copy.go
+++ b/standin/databasecopy/copy.go
@@ -153,9 +153,12 @@
 	return true
 }
 
-// Promote makes the copy the primary of an epoch; the first commit of an epoch
-// is an empty one that marks it.
-func (c *Copy) Promote(e uint64, atUs int64) bool {
+// Promote makes the copy the primary of an epoch, if it is the one that is meant;
+// the first commit of an epoch is an empty one that marks it.
+func (c *Copy) Promote(e uint64, identity string, atUs int64) bool {
+	if identity != "" && identity != c.Identity {
+		return false
+	}
 	if e == c.Epoch && c.Primary {
 		return true
 	}
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -153,7 +153,7 @@
 	m.HandleFunc("POST /v1/connections/{id}", s.run)
 	m.HandleFunc("GET /v1/log", s.giveLog)
 	m.HandleFunc("POST /v1/seal", s.roleCall(func(c *Copy, a roleArgs) bool { return c.Seal(a.Epoch) }))
-	m.HandleFunc("POST /v1/promote", s.roleCall(func(c *Copy, a roleArgs) bool { return c.Promote(a.Epoch, nowUs()) }))
+	m.HandleFunc("POST /v1/promote", s.roleCall(func(c *Copy, a roleArgs) bool { return c.Promote(a.Epoch, a.Identity, nowUs()) }))
 	m.HandleFunc("POST /v1/follow", s.roleCall(func(c *Copy, a roleArgs) bool { return c.Follow(a.Epoch, a.Primary) }))
 	m.HandleFunc("POST /v1/leave", s.leave)
 	m.HandleFunc("POST /faults", s.setFaults)
@@ -414,8 +414,9 @@
 }
 
 type roleArgs struct {
-	Epoch   uint64 `json:"epoch"`
-	Primary string `json:"primary"`
+	Identity string `json:"identity"`
+	Epoch    uint64 `json:"epoch"`
+	Primary  string `json:"primary"`
 }
 
 func (s *Server) roleCall(f func(*Copy, roleArgs) bool) http.HandlerFunc {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -42,6 +42,7 @@
 type takeover struct {
 	Group   string                  `json:"group"`
 	Target  string                  `json:"target"`
+	Meant   string                  `json:"identity"`
 	Epoch   uint64                  `json:"epoch"`
 	Members []databaseclient.Member `json:"members"`
 }
@@ -168,7 +169,7 @@
 	ctx, stop := context.WithTimeout(r.Context(), time.Second)
 	defer stop()
 	addr := t.Members[i].Address
-	if err := databasecopy.Call(ctx, "http://"+addr+"/v1/promote", map[string]any{"epoch": t.Epoch}, nil); err != nil {
+	if err := databasecopy.Call(ctx, "http://"+addr+"/v1/promote", map[string]any{"epoch": t.Epoch, "identity": t.Meant}, nil); err != nil {
 		bounce(err.Error())
 		return
 	}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -78,9 +78,10 @@
 	}
 	// Platform asks the platform to carry a takeover out.
 	Platform struct {
-		Target  string
-		Epoch   uint64
-		Members []Place
+		Target   string
+		Identity string // of the copy that is meant
+		Epoch    uint64
+		Members  []Place
 	}
 	// Say is for the log.
 	Say struct {
@@ -262,7 +263,7 @@
 	}
 	if !all && now >= g.nextPlat {
 		g.nextPlat = now + platformEvery
-		g.fx = append(g.fx, Platform{Target: st.Primary, Epoch: st.Epoch, Members: in.Places})
+		g.fx = append(g.fx, Platform{Target: st.Primary, Identity: identity(st, st.Primary), Epoch: st.Epoch, Members: in.Places})
 	}
 	if right && led && st.Phase == schema.Phase_PROMOTING {
 		n := proto.Clone(st).(*schema.GroupState)
@@ -518,6 +519,16 @@
 	}
 }
 
+// identity is the agreed one of a member.
+func identity(st *schema.GroupState, name string) string {
+	for _, m := range st.Members {
+		if m.Database == name {
+			return m.Identity
+		}
+	}
+	return ""
+}
+
 func address(in Input, name string) string {
 	i := slices.IndexFunc(in.Places, func(p Place) bool { return p.Name == name })
 	if i < 0 {
