A grant's node stands in its key alone; one way to name a process's own address

Read over the whole change: each grant of permits kept the node and run that its key in the table already is, and four call sites picked the bind address over the listen address by themselves; links.Local takes both now. A comment is wrapped. Behaviour is unchanged; the tests of permits, duties and the query table pass.

--- a/control/process.go
+++ b/control/process.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -67,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{boot: b, clock: clock, l: loop.New(clock, clock.Now(), lineLength), dbs: databaseclient.New(links.Local(cmp.Or(b.Bind, b.Listen)))}
+	p := &Process{boot: b, clock: clock, l: loop.New(clock, clock.Now(), lineLength), dbs: databaseclient.New(links.Local(b.Bind, b.Listen))}
 	p.SetTokens(b.Tokens)
 	newCore := func() *Core {
 		return NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint32(n[:]))
@@ -108,7 +107,7 @@
 	cl.Push(p.disk.Close)
 	work, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	p.ctx, p.fail = work, func(err error) { stop(err) }
-	p.links = links.New(work, p.boot.Listen, links.Local(cmp.Or(p.boot.Bind, p.boot.Listen)), func(e *schema.Envelope) { p.l.Offer(e) })
+	p.links = links.New(work, p.boot.Listen, links.Local(p.boot.Bind, p.boot.Listen), func(e *schema.Envelope) { p.l.Offer(e) })
 	ln, hl, err := bootfile.Listen(p.boot)
 	if err != nil {
 		return err
--- a/links/links.go
+++ b/links/links.go
@@ -4,6 +4,7 @@
 package links
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -143,9 +144,10 @@
 }
 
 // Local is the address that connections of a process come from, so that others
-// can tell it by it: the IP it listens on, or any where it listens on all.
-func Local(listen string) net.Addr {
-	h, _, err := net.SplitHostPort(listen)
+// can tell it by it: the IP of the first address named, on which it listens, or
+// any where it listens on all.
+func Local(listen ...string) net.Addr {
+	h, _, err := net.SplitHostPort(cmp.Or(listen...))
 	if ip := net.ParseIP(h); err == nil && ip != nil && !ip.IsUnspecified() {
 		return &net.TCPAddr{IP: ip}
 	}
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -24,8 +24,6 @@
 )
 
 type grant struct {
-	node   string
-	run    uint64
 	number uint64 // of the newest ask that was served
 	n      map[string]int32
 	until  int64
@@ -56,7 +54,7 @@
 func Handed(now int64, gs *schema.Grants) *Holder {
 	h := NewHolder(now, true)
 	for _, g := range gs.Grants {
-		h.nodes[who{g.Node, g.Run}] = &grant{node: g.Node, run: g.Run, number: g.Number, n: maps.Clone(g.Connections), handed: g.Connections, until: now + goneUs, heard: now}
+		h.nodes[who{g.Node, g.Run}] = &grant{number: g.Number, n: maps.Clone(g.Connections), handed: g.Connections, until: now + goneUs, heard: now}
 	}
 	return h
 }
@@ -65,9 +63,9 @@
 // gives nothing any more.
 func (h *Holder) Grants(now int64) *schema.Grants {
 	gs := &schema.Grants{}
-	for _, g := range h.nodes {
+	for k, g := range h.nodes {
 		if now < g.until {
-			gs.Grants = append(gs.Grants, &schema.Grant{Node: g.node, Run: g.run, Number: g.number, Connections: g.n})
+			gs.Grants = append(gs.Grants, &schema.Grant{Node: k.node, Run: k.run, Number: g.number, Connections: g.n})
 		}
 	}
 	slices.SortFunc(gs.Grants, func(a, b *schema.Grant) int { return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Run, b.Run)) })
@@ -83,7 +81,7 @@
 	k := who{from, a.Run}
 	g := h.nodes[k]
 	if g == nil {
-		g = &grant{node: from, run: a.Run, n: map[string]int32{}}
+		g = &grant{n: map[string]int32{}}
 		h.nodes[k] = g
 	}
 	if a.Number > g.number {
--- a/pool/process.go
+++ b/pool/process.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -71,7 +70,7 @@
 	began := clock.Now()
 	run := uint64(began.UnixMicro())
 	p := &Process{boot: b, run: run, clock: clock, began: began, core: NewCore(b, run), node: loop.New(clock, began, lineLength),
-		dbs: databaseclient.New(links.Local(cmp.Or(b.Bind, b.Listen))), tables: map[string]*runner{}}
+		dbs: databaseclient.New(links.Local(b.Bind, b.Listen)), tables: map[string]*runner{}}
 	p.routes.Store(&map[string]Route{})
 	p.groups.Store(&map[string]*runner{})
 	p.nodes.Store(&nodeView{})
@@ -85,7 +84,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	cl.Push(func() error { stop(); return nil })
 	p.ctx = work
-	p.links = links.New(work, p.boot.Listen, links.Local(cmp.Or(p.boot.Bind, p.boot.Listen)), func(e *schema.Envelope) { p.node.Offer(e) })
+	p.links = links.New(work, p.boot.Listen, links.Local(p.boot.Bind, p.boot.Listen), func(e *schema.Envelope) { p.node.Offer(e) })
 	ln, hl, err := bootfile.Listen(p.boot)
 	if err != nil {
 		return err
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -12,8 +12,9 @@
 }
 
 // away says that no new query goes to a database: it announced that it leaves,
-// an agreed move drains it, or it is another copy than the agreed one. A primary that is drained goes on with single
-// statements until its transactions have ended.
+// an agreed move drains it, or it is another copy than the agreed one. A primary
+// that is drained goes on with single statements until its transactions have
+// ended.
 func (t *Table) away(m Member) bool {
 	s := t.members[m.Name]
 	if s != nil && s.other {
