--- a/ballots/proposer.go
+++ b/ballots/proposer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"stoneford/schema"
@@ -300,3 +301,43 @@
 	}
 	return 0
 }
+
+// Due is when Tick has something to do next, math.MaxInt64 for never.
+func (p *Proposer) Due() int64 {
+	at := int64(math.MaxInt64)
+	for _, a := range p.busy {
+		at = min(at, a.ch.Expiry)
+		if a.again > 0 {
+			at = min(at, a.again)
+		} else {
+			at = min(at, a.until)
+		}
+	}
+	for _, l := range p.line {
+		for _, c := range l {
+			at = min(at, c.Expiry)
+		}
+	}
+	return at
+}
+
+// Counted is whose word of rs counts: it leaves out what a voter's disk said
+// that another's word knows to be lost (design 3.3). Each word is the standings
+// that came with it.
+func Counted(rs map[string][]*schema.Standing) []string {
+	m := make(map[string]word, len(rs))
+	for v, s := range rs {
+		m[v] = s
+	}
+	return counted(m)
+}
+
+type word []*schema.Standing
+
+func (w word) GetStandings() []*schema.Standing { return w }
+
+// Same says whether two ballots are one.
+func Same(a, b *schema.Ballot) bool { return !less(a, b) && !less(b, a) }
+
+// Less orders ballots.
+func Less(a, b *schema.Ballot) bool { return less(a, b) }
--- a/ballots/voter.go
+++ b/ballots/voter.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"stoneford/schema"
@@ -308,3 +309,35 @@
 		m[s.Voter] = max(m[s.Voter], s.Generation)
 	}
 }
+
+// Due is when Tick has something to do next, math.MaxInt64 for never.
+func (v *Voter) Due() int64 {
+	if v.formed {
+		return math.MaxInt64
+	}
+	return v.nextJoin
+}
+
+// Cell is what this voter accepted of a key, nil if nothing.
+func (v *Voter) Cell(k string) *schema.Cell {
+	if c := v.cells[k]; c == nil || c.value == nil {
+		return nil
+	}
+	return v.wire(k)
+}
+
+// Keys are the keys of which this voter accepted something, in order.
+func (v *Voter) Keys() []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(v.cells)), func(k string) bool { return v.cells[k].value == nil })
+}
+
+// Standings are the generations this voter knows.
+func (v *Voter) Standings() []*schema.Standing { return standings(v.standings) }
+
+// Roster names the voters it was formed with, nil before that.
+func (v *Voter) Roster() []string {
+	if !v.formed {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(v.roster))
+}
--- /dev/null
+++ b/coordinator/core.go
@@ -0,0 +1,851 @@
+// Package coordinator is the control plane where databases announce themselves
+// (design 14): a voter, the mergeable records of the databases, the operators'
+// routing table and each group's change of primary. Core is deterministic;
+// Process puts disk, links and the platform's calls around it.
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"stoneford/ballots"
+	"stoneford/ports"
+	"stoneford/records"
+	"stoneford/result"
+	"stoneford/routingtable"
+	"stoneford/schema"
+	"stoneford/step"
+	"stoneford/switchover"
+	"stoneford/voterview"
+)
+
+// Events.
+type (
+	// Announce brings a database's word on itself.
+	Announce struct {
+		ID       uint64
+		Instance ports.Instance
+	}
+	// Change brings an operator's change.
+	Change struct {
+		ID     uint64
+		Change ports.TableChange
+	}
+	// Fetch asks for the newest table.
+	Fetch struct{ ID uint64 }
+	// Said ends an Ask.
+	Said struct {
+		Group string
+		Said  switchover.Said
+	}
+	// Promoted ends a Promote.
+	Promoted struct {
+		Group    string
+		OK, Gone bool
+	}
+	// Stop says that this process leaves.
+	Stop struct{}
+)
+
+// Effects.
+type (
+	// Announced ends an Announce.
+	Announced struct {
+		ID uint64
+		OK bool
+	}
+	// Changed ends a Change.
+	Changed struct {
+		ID     uint64
+		Result ports.ChangeResult
+	}
+	// Fetched ends a Fetch.
+	Fetched struct {
+		ID    uint64
+		Table ports.RoutingTable
+		OK    bool
+	}
+	// Ask puts a question to a database.
+	Ask struct {
+		Group string
+		Ask   switchover.Ask
+	}
+	// Promote asks the platform for a change of primary.
+	Promote struct {
+		Group   string
+		Promote switchover.Promote
+	}
+	// Say is for the log.
+	Say struct {
+		Code result.Code
+		Text string
+	}
+)
+
+// Effects of one step. Log must be synced before anything else is done.
+type Effects struct {
+	Log  []*schema.VoterLog
+	Send []step.Send
+	Do   []any
+}
+
+const (
+	changeExpiry  = 4_000_000
+	ackExpiry     = 900_000
+	ackAgain      = 200_000
+	compareEvery  = 5_000_000
+	followFor     = 4_000_000 // a node that did not look so long is not told any more
+	ownerSilent   = 1_300_000 // a control process that was not heard so long carries nothing out
+	catchUpEvery  = 400_000
+	renewEvery    = 3 // announcements that say nothing new, between those passed on
+	goneFactor    = 6 // announcements missed until a database counts as gone
+	forgetGone    = 120_000_000
+	defaultBeatUs = 1_200_000
+)
+
+type follower struct {
+	seq      uint64
+	at       int64
+	returned int64 // when it was last sent a return
+	kind     string
+	name     string
+	run      uint64
+	leaving  bool
+	bodies   bool
+	sights   []*schema.Sighting
+	words    map[string]*schema.GroupWord
+}
+
+type group struct {
+	decider *switchover.Group
+	sealed  uint64 // revision of the newest sealing accepted here
+	at      int64  // when
+	before  map[string]bool
+	cleared uint64 // newest sealing that no node that looked here goes against
+	told    uint64 // newest cleared that the others were told
+	putting bool
+	doubtAt int64
+}
+
+type ack struct {
+	id     uint64
+	recs   []*schema.Record
+	until  int64
+	again  int64
+	number uint64
+}
+
+// Core is one control process.
+type Core struct {
+	self     string
+	run      uint64
+	boot     ports.Boot
+	voter    *ballots.Voter
+	proposer *ballots.Proposer
+	view     *voterview.View
+	insts    *records.Store
+	seqs     map[string]uint64 // key of a cell or record to the number of its newest change
+	seq      uint64
+	follow   map[string]*follower
+	groups   map[string]*group
+	table    ports.RoutingTable
+	tableRev uint64
+	pending  map[string]func(int64, ballots.Outcome)
+	catching map[string]int64
+	acks     map[uint64]*ack
+	beats    map[string]int // announcements of a database since one was passed on
+	names    uint64
+	number   uint64
+	formed   bool
+	leaving  bool
+	began    int64
+	lastStep int64
+	nextCmp  int64
+	nextGone int64
+	turn     int
+	changed  bool // something that nodes are to be told
+	due      int64
+	own      []*schema.Envelope
+	fx       Effects
+}
+
+// NewCore makes a control process on top of a voter that was restored, or is
+// new; run must be greater than any earlier run's.
+func NewCore(b ports.Boot, v *ballots.Voter, voters []string, run uint64) *Core {
+	self := b.ControlNode()
+	return &Core{self: self, run: run, boot: b, voter: v, proposer: ballots.NewProposer(self, fmt.Sprint(run), voters),
+		view: voterview.New(self, voters, b.Zone, b.Name, "control", run), insts: records.New(self),
+		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}}
+}
+
+// Start brings what the voter restored into the numbered changes.
+func (c *Core) Start(now int64) {
+	c.began, c.lastStep = now, now
+	for _, k := range c.voter.Keys() {
+		c.bump(k)
+		c.accepted(now, k)
+	}
+	c.formed = c.voter.Formed()
+}
+
+func (c *Core) bump(k string) {
+	c.seq++
+	c.seqs[k] = c.seq
+	c.changed = true
+}
+
+func (c *Core) name() string { c.names++; return fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names) }
+
+func (c *Core) say(code result.Code, f string, a ...any) {
+	c.fx.Do = append(c.fx.Do, Say{Code: code, Text: fmt.Sprintf(f, a...)})
+}
+
+// SetBoot takes settings that changed.
+func (c *Core) SetBoot(b ports.Boot) { c.boot = b }
+
+// Due is when Step has something to do next even if nothing happens.
+func (c *Core) Due() int64 { return c.due }
+
+// Step takes events, then does what is due.
+func (c *Core) Step(now int64, evs ...any) Effects {
+	c.fx, c.changed = Effects{}, false
+	if now-c.lastStep > ownerSilent {
+		// This process itself stood still: what it heard is as old as that.
+		for id := range c.beats {
+			c.beats[id] = 0
+		}
+		c.began = now
+	}
+	c.lastStep = now
+	for _, e := range evs {
+		c.event(now, e)
+		c.drain(now)
+	}
+	c.tick(now)
+	c.drain(now)
+	if c.changed {
+		c.push(now)
+		c.drain(now)
+		c.groupsTick(now)
+		c.drain(now)
+	}
+	c.setDue(now)
+	return c.fx
+}
+
+// drain hands this process what it sent itself. Everything else a step asks for
+// leaves after its log was synced, so nothing rests on what is not on disk.
+func (c *Core) drain(now int64) {
+	for len(c.own) > 0 {
+		e := c.own[0]
+		c.own = c.own[1:]
+		c.envelope(now, e)
+	}
+}
+
+func (c *Core) send(ss ...step.Send) {
+	for _, s := range ss {
+		if s.To == c.self {
+			c.own = append(c.own, s.Env)
+		} else {
+			c.fx.Send = append(c.fx.Send, s)
+		}
+	}
+}
+
+func (c *Core) event(now int64, e any) {
+	switch e := e.(type) {
+	case *schema.Envelope:
+		c.envelope(now, e)
+	case Announce:
+		c.announce(now, e)
+	case Change:
+		c.change(now, e)
+	case Fetch:
+		c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
+			t, err := routingtable.Decode(o.Value.GetData())
+			c.fx.Do = append(c.fx.Do, Fetched{ID: e.ID, Table: t, OK: o.Verdict == ballots.Agreed && err == nil && t.Revision > 0})
+		})
+	case Said:
+		if g := c.groups[e.Group]; g != nil {
+			g.decider.Said(now, e.Said)
+			c.groupTick(now, e.Group, g)
+		}
+	case Promoted:
+		if g := c.groups[e.Group]; g != nil {
+			g.decider.Promoted(now, e.OK, e.Gone)
+			c.groupTick(now, e.Group, g)
+		}
+	case Stop:
+		c.leaving = true
+		c.view.Want()
+	}
+}
+
+func (c *Core) envelope(now int64, e *schema.Envelope) {
+	switch b := e.Body.(type) {
+	case *schema.Envelope_Prepare, *schema.Envelope_Accept, *schema.Envelope_Join, *schema.Envelope_JoinReturn:
+		c.voted(now, c.voter.Step(now, e))
+	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
+		c.proposed(now, c.proposer.Step(now, e))
+	case *schema.Envelope_Look:
+		c.look(now, e.From, b.Look)
+	case *schema.Envelope_LookReturn:
+		c.view.Step(now, e.From, b.LookReturn)
+		c.learned(now)
+	case *schema.Envelope_Announced:
+		c.merge(now, b.Announced.Instances)
+		if b.Announced.Number > 0 {
+			c.send(step.Send{To: e.From, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_AnnouncedReturn{AnnouncedReturn: &schema.AnnouncedReturn{Number: b.Announced.Number}}}})
+		}
+	case *schema.Envelope_AnnouncedReturn:
+		c.acked(b.AnnouncedReturn.Number)
+	case *schema.Envelope_Records:
+		for _, r := range c.insts.Step(now, e).New {
+			c.merged(now, r, nil)
+		}
+	case *schema.Envelope_RangeDigests:
+		c.send(c.insts.Step(now, e).Send...)
+	}
+}
+
+func (c *Core) voted(now int64, fx ballots.Effects) {
+	c.fx.Log = append(c.fx.Log, fx.Log...)
+	c.send(fx.Send...)
+	for _, k := range fx.Chosen {
+		c.bump(k)
+		c.accepted(now, k)
+	}
+	if c.voter.Formed() && !c.formed {
+		c.formed = true
+		c.say(result.VoterFormed, "%s", c.self)
+		c.changed = true
+	}
+}
+
+// accepted notes when a sealing came here first: nodes that looked before may
+// work by what was before it.
+func (c *Core) accepted(now int64, k string) {
+	n, ok := strings.CutPrefix(k, voterview.LeaderPrefix)
+	if !ok {
+		return
+	}
+	l := voterview.Leadership(voterview.Chosen{Data: c.voter.Cell(k).GetValue().GetData()})
+	g := c.group(n)
+	if l.SealRev <= g.sealed {
+		return
+	}
+	g.sealed, g.at, g.before = l.SealRev, now, map[string]bool{}
+	for a, f := range c.follow {
+		if f.kind == "pool" && now-f.returned < voterview.WaitUs {
+			g.before[a] = true
+		}
+	}
+}
+
+// clearedHere says whether no node that this voter sent a return before it
+// accepted the sealing relies on that return any more (design 14.6).
+func (c *Core) clearedHere(now int64, n string, g *group) bool {
+	if now-g.at >= voterview.WaitUs {
+		return true
+	}
+	if now-c.began < voterview.WaitUs {
+		return false // what an earlier run returned is not known
+	}
+	for a := range g.before {
+		if f := c.follow[a]; f == nil || f.words[n].GetRevision() < g.sealed {
+			return false
+		}
+	}
+	return true
+}
+
+// cleared says whether a majority of voters is clear of what was before a
+// sealing.
+func (c *Core) cleared(now int64, n string, g *group, rev uint64) bool {
+	if rev == 0 {
+		return false
+	}
+	k := 0
+	for _, o := range c.view.Voters() {
+		if o == c.self {
+			if g.sealed >= rev && g.cleared >= rev {
+				k++
+			}
+		} else if f := c.follow[o]; f != nil {
+			if w := f.words[n]; w.GetQuiet() && w.Revision >= rev {
+				k++
+			}
+		}
+	}
+	return k > len(c.view.Voters())/2
+}
+
+func (c *Core) group(n string) *group {
+	g := c.groups[n]
+	if g == nil {
+		g = &group{decider: switchover.New()}
+		c.groups[n] = g
+	}
+	return g
+}
+
+func (c *Core) proposed(now int64, fx ballots.ProposerEffects) {
+	c.send(fx.Send...)
+	for _, o := range fx.Outcomes {
+		if f := c.pending[o.Change.Name]; f != nil {
+			delete(c.pending, o.Change.Name)
+			f(now, o)
+		}
+	}
+}
+
+func (c *Core) ask(now int64, ch ballots.Change, f func(int64, ballots.Outcome)) {
+	c.pending[ch.Name] = f
+	c.proposed(now, c.proposer.Ask(now, ch))
+}
+
+func (c *Core) read(now int64, key string, f func(int64, ballots.Outcome)) {
+	c.ask(now, ballots.Change{Name: c.name(), Key: key, Read: true, Expiry: now + changeExpiry}, f)
+}
+
+// look returns what changed here since the asker's last.
+func (c *Core) look(now int64, from string, m *schema.Look) {
+	f := c.follow[from]
+	if f == nil || f.run != m.Run {
+		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run}
+		c.follow[from] = f
+	}
+	since := m.Seq
+	if m.Life != c.run {
+		since = 0
+	}
+	news := len(f.sights) != len(m.Sightings) || f.leaving != m.Leaving
+	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
+	for _, w := range m.Groups {
+		o := f.words[w.Group]
+		news = news || o.GetRevision() != w.Revision || o.GetQuiet() != w.Quiet
+		f.words[w.Group] = w
+	}
+	f.returned = now
+	c.send(step.Send{To: from, Env: c.news(from, f, m.Number)})
+	if news || len(f.sights) > 0 {
+		c.groupsTick(now)
+	}
+}
+
+// news is what changed since a follower's last look.
+func (c *Core) news(to string, f *follower, number uint64) *schema.Envelope {
+	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Formed: c.voter.Formed(), Standings: c.voter.Standings(),
+		Nodes: uint32(c.nodes()), Voters: c.voter.Roster(), Bodies: f.bodies}
+	if f.seq < c.seq {
+		for _, k := range slices.Sorted(maps.Keys(c.seqs)) {
+			if c.seqs[k] <= f.seq {
+				continue
+			}
+			if strings.HasPrefix(k, voterview.DatabasePrefix) {
+				r.Instances = append(r.Instances, c.insts.Get(k))
+			} else if d := c.voter.Cell(k); d != nil {
+				if !f.bodies && k == voterview.TableKey {
+					d.Value = &schema.Value{Revision: d.Value.Revision}
+				}
+				d.Value = &schema.Value{Revision: d.Value.Revision, Data: d.Value.Data}
+				d.Promised = nil
+				r.Cells = append(r.Cells, d)
+			}
+		}
+	}
+	return &schema.Envelope{From: c.self, Body: &schema.Envelope_LookReturn{LookReturn: r}}
+}
+
+// push tells all that looked lately what changed.
+func (c *Core) push(now int64) {
+	for _, a := range slices.Sorted(maps.Keys(c.follow)) {
+		f := c.follow[a]
+		if now-f.at < followFor && f.seq < c.seq {
+			c.send(step.Send{To: a, Env: c.news(a, f, 0)})
+		}
+	}
+}
+
+func (c *Core) nodes() int {
+	n := 0
+	for _, f := range c.follow {
+		if f.kind == "pool" && !f.leaving && c.lastStep-f.at < followFor {
+			n++
+		}
+	}
+	return n
+}
+
+// learned takes what the view found agreed.
+func (c *Core) learned(now int64) {
+	ks, _ := c.view.Take()
+	for _, k := range ks {
+		if k == voterview.TableKey {
+			if v, ok := c.view.Agreed(k); ok && v.Revision > c.tableRev {
+				t, err := routingtable.Decode(v.Data)
+				if err != nil {
+					c.say(result.InvalidConfiguration, "%s revision %d: %v", k, v.Revision, err)
+					continue
+				}
+				c.table, c.tableRev = t, v.Revision
+				c.say(result.RevisionApplied, "routes revision %d, the operators' %d", v.Revision, t.Revision)
+				for _, g := range t.Groups {
+					c.group(g.Name)
+				}
+			}
+		}
+	}
+	if len(ks) > 0 {
+		c.groupsTick(now)
+	}
+}
+
+// announce takes a database's word. What rests on its acknowledgement, that it
+// leaves or is gone, is acknowledged once a majority of control processes has
+// it.
+func (c *Core) announce(now int64, e Announce) {
+	k := voterview.DatabasePrefix + e.Instance.ID
+	if o := c.insts.Get(k); o != nil && e.Instance.Gone {
+		// The last word names nothing but its identity.
+		was := voterview.Instance(o)
+		was.Gone, was.Call = true, max(was.Call, e.Instance.Call)
+		e.Instance = was
+	}
+	r := voterview.Record(e.Instance)
+	told := c.merge(now, []*schema.Record{r})
+	c.beats[e.Instance.ID]++
+	rests := e.Instance.Leaving || e.Instance.Gone
+	pass := told || rests || c.beats[e.Instance.ID] >= renewEvery
+	if pass {
+		c.beats[e.Instance.ID] = 0
+	}
+	if !rests {
+		if pass {
+			c.announced(0, []*schema.Record{r})
+		}
+		c.fx.Do = append(c.fx.Do, Announced{ID: e.ID, OK: true})
+		return
+	}
+	c.number++
+	c.acks[c.number] = &ack{id: e.ID, recs: []*schema.Record{r}, number: c.number, until: now + ackExpiry, again: now + ackAgain}
+	c.announced(c.number, []*schema.Record{r})
+	if len(c.view.Voters()) < 2 {
+		c.acked(c.number)
+	}
+}
+
+func (c *Core) announced(n uint64, rs []*schema.Record) {
+	for _, o := range c.view.Voters() {
+		if o != c.self {
+			c.send(step.Send{To: o, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_Announced{Announced: &schema.Announced{Number: n, Instances: rs}}}})
+		}
+	}
+}
+
+func (c *Core) acked(n uint64) {
+	if a := c.acks[n]; a != nil {
+		delete(c.acks, n)
+		c.fx.Do = append(c.fx.Do, Announced{ID: a.id, OK: true})
+	}
+}
+
+// merge takes records of databases and says whether one of them said something
+// new.
+func (c *Core) merge(now int64, rs []*schema.Record) bool {
+	told := false
+	for _, r := range rs {
+		old := c.insts.Get(r.Key)
+		if len(c.insts.Put(now, r)) > 0 {
+			told = c.merged(now, r, old) || told
+		}
+	}
+	return told
+}
+
+func (c *Core) merged(now int64, r, old *schema.Record) bool {
+	if old != nil && slices.Equal(old.Data, r.Data) {
+		return false // only its stamp
+	}
+	c.bump(r.Key)
+	i := voterview.Instance(r)
+	c.say(result.InstanceSaid, "%s of %s at %s: leaves %t, leads %t, gone %t", i.ID, i.Group, i.Address, i.Leaving, i.Primary, i.Gone)
+	return true
+}
+
+// change reads the newest table through a majority, checks the change against it
+// and puts it to the vote.
+func (c *Core) change(now int64, e Change) {
+	ret := func(o ports.Outcome, rev uint64, ps ...string) {
+		c.fx.Do = append(c.fx.Do, Changed{ID: e.ID, Result: ports.ChangeResult{Outcome: o, Revision: rev, Problems: ps}})
+	}
+	c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
+		cur, err := routingtable.Decode(o.Value.GetData())
+		switch {
+		case o.Verdict != ballots.Agreed || err != nil:
+			ret(ports.Unavailable, 0)
+			return
+		case slices.Contains(o.Value.GetChanges(), e.Change.Name):
+			ret(ports.Agreed, cur.Revision) // sent again
+			return
+		case cur.Revision != e.Change.Base:
+			ret(ports.Stale, cur.Revision)
+			return
+		}
+		next, ps := routingtable.Apply(cur, e.Change)
+		if len(ps) > 0 {
+			ret(ports.Invalid, cur.Revision, ps...)
+			return
+		}
+		// Two processes may be putting the very same change to the vote, sent
+		// twice: they share its name, so it is made once.
+		name := e.Change.Name
+		if c.pending[name] != nil {
+			ret(ports.Unavailable, cur.Revision)
+			return
+		}
+		c.ask(now, ballots.Change{Name: name, Key: voterview.TableKey, Base: o.Value.GetRevision(), Data: routingtable.Encode(next), Expiry: now + changeExpiry}, func(now int64, o ballots.Outcome) {
+			t, _ := routingtable.Decode(o.Value.GetData())
+			switch o.Verdict {
+			case ballots.Agreed:
+				ret(ports.Agreed, t.Revision)
+			case ballots.Lost:
+				ret(ports.Stale, t.Revision)
+			default:
+				ret(ports.Unavailable, 0)
+			}
+		})
+	})
+}
+
+func (c *Core) tick(now int64) {
+	c.voted(now, c.voter.Tick(now))
+	c.proposed(now, c.proposer.Tick(now))
+	c.send(c.view.Tick(now, c.report)...)
+	c.drain(now)
+	for _, n := range slices.Sorted(maps.Keys(c.acks)) {
+		a := c.acks[n]
+		switch {
+		case now >= a.until:
+			delete(c.acks, n)
+			c.fx.Do = append(c.fx.Do, Announced{ID: a.id})
+		case now >= a.again:
+			a.again = now + ackAgain
+			c.announced(n, a.recs)
+		}
+	}
+	if now >= c.nextCmp {
+		c.nextCmp = now + compareEvery
+		c.turn++
+		if o := c.view.Voters()[c.turn%len(c.view.Voters())]; o != c.self {
+			c.send(c.insts.Compare(o, "", ""))
+		}
+		maps.DeleteFunc(c.follow, func(_ string, f *follower) bool { return now-f.at > 10*followFor })
+	}
+	if now >= c.nextGone {
+		c.nextGone = now + c.beatUs()
+		c.expire(now)
+	}
+	c.catchUp(now)
+	c.groupsTick(now)
+}
+
+func (c *Core) beatUs() int64 {
+	if c.boot.BeatUs > 0 {
+		return c.boot.BeatUs
+	}
+	return defaultBeatUs
+}
+
+// expire takes databases that were silent for long as gone, unless this process
+// may be the one that hears nothing.
+func (c *Core) expire(now int64) {
+	if now >= c.view.LeaseUntil() || now-c.began < goneFactor*c.beatUs() {
+		return
+	}
+	var old []string
+	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
+		i := voterview.Instance(r)
+		age := c.insts.AgeUs(now, r.Key)
+		switch {
+		case i.Gone && age > forgetGone:
+			old = append(old, r.Key)
+		case !i.Gone && age > goneFactor*c.beatUs():
+			i.Gone = true
+			c.merge(now, []*schema.Record{voterview.Record(i)})
+		}
+	})
+	for _, k := range old {
+		c.insts.Forget(k)
+		delete(c.seqs, k)
+	}
+}
+
+// catchUp settles registers of which a voter holds more than is known as agreed:
+// whoever made the revision may have died before a majority had it.
+func (c *Core) catchUp(now int64) {
+	if !c.formed {
+		return
+	}
+	for _, k := range c.voter.Keys() {
+		switch {
+		case !c.view.Doubt(k):
+			delete(c.catching, k)
+		case c.catching[k] == 0:
+			c.catching[k] = now + catchUpEvery + int64(step.Hash(c.self, k)%catchUpEvery)
+		case now >= c.catching[k]:
+			c.catching[k] = now + 2*catchUpEvery
+			c.read(now, k, func(int64, ballots.Outcome) {})
+		}
+	}
+}
+
+// report is what this process tells the other voters.
+func (c *Core) report() voterview.Report {
+	r := voterview.Report{Leaving: c.leaving}
+	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
+		if g := c.groups[n]; g.cleared > 0 {
+			g.told = g.cleared
+			r.Words = append(r.Words, &schema.GroupWord{Group: n, Revision: g.cleared, Quiet: true})
+		}
+	}
+	return r
+}
+
+// owner is the control process that carries a group's changes out: the first, by
+// the group's hash, of those heard lately.
+func (c *Core) owner(now int64, n string) bool {
+	for _, o := range step.Rank("change/"+n, c.view.Voters()) {
+		if o == c.self {
+			return !c.leaving
+		}
+		if f := c.follow[o]; f != nil && now-f.at < ownerSilent && !f.leaving {
+			return false
+		}
+	}
+	return false
+}
+
+func (c *Core) groupsTick(now int64) {
+	if !c.formed {
+		return
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
+		c.groupTick(now, n, c.groups[n])
+	}
+}
+
+func (c *Core) groupTick(now int64, n string, g *group) {
+	k := voterview.LeaderPrefix + n
+	v, ok := c.view.Agreed(k)
+	l := &schema.Leadership{}
+	if ok {
+		l = voterview.Leadership(v)
+	}
+	if g.sealed > g.cleared && c.clearedHere(now, n, g) {
+		g.cleared = g.sealed
+		if g.told < g.cleared {
+			c.view.Want()
+		}
+	}
+	i := slices.IndexFunc(c.table.Groups, func(t ports.Group) bool { return t.Name == n })
+	if i < 0 {
+		return
+	}
+	in := switchover.Input{Group: n, Sync: c.table.Groups[i].Sync, State: l, Rev: v.Revision, Settled: !c.view.Doubt(k),
+		Acts: c.owner(now, n), Self: c.boot.Name}
+	if in.Acts {
+		c.sum(now, n, k, g, l, &in)
+	}
+	for _, e := range g.decider.Step(now, in) {
+		switch e := e.(type) {
+		case switchover.Ask:
+			c.fx.Do = append(c.fx.Do, Ask{Group: n, Ask: e})
+		case switchover.Promote:
+			c.fx.Do = append(c.fx.Do, Promote{Group: n, Promote: e})
+		case switchover.Say:
+			c.say(e.Code, "%s", e.Text)
+		case switchover.Put:
+			c.ask(now, ballots.Change{Name: c.name(), Key: k, Base: e.Base, Data: e.Data, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
+				g.decider.PutDone()
+				c.changed = true
+			})
+		}
+	}
+}
+
+// sum brings what databases and nodes said lately into a decider's input.
+func (c *Core) sum(now int64, n, k string, g *group, l *schema.Leadership, in *switchover.Input) {
+	in.Heard, in.Sights = map[string]int64{}, map[string]switchover.Sight{}
+	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
+		if i := voterview.Instance(r); i.Group == n && !i.Gone {
+			in.Instances = append(in.Instances, i)
+			in.Heard[i.ID] = now - c.insts.AgeUs(now, r.Key)
+		}
+	})
+	in.Quiet, in.Told = true, true
+	for _, f := range c.follow {
+		if f.kind != "pool" || now-f.at > followFor {
+			continue
+		}
+		in.Nodes++
+		for _, s := range f.sights {
+			if now-f.at > ownerSilent {
+				continue
+			}
+			w := in.Sights[s.Id]
+			w.Nodes++
+			if s.Cut {
+				w.Cut++
+			}
+			w.FailingUs = max(w.FailingUs, s.FailingUs+now-f.at)
+			in.Sights[s.Id] = w
+		}
+		w := f.words[n]
+		in.Quiet = in.Quiet && w.GetQuiet() && w.GetRevision() >= in.Rev
+		in.Told = in.Told && w.GetRevision() >= l.SealRev
+		if p := (ports.Position{Term: w.GetAckedTerm(), Number: w.GetAckedNumber()}); in.Acked.Before(p) {
+			in.Acked = p
+		}
+	}
+	in.Cleared = c.cleared(now, n, g, l.SealRev)
+}
+
+func (c *Core) setDue(now int64) {
+	d := min(c.voter.Due(), c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone)
+	for _, a := range c.acks {
+		d = min(d, a.until, a.again)
+	}
+	for k, at := range c.catching {
+		if c.view.Doubt(k) {
+			d = min(d, at)
+		}
+	}
+	for _, g := range c.groups {
+		d = min(d, g.decider.Due())
+		if g.sealed > g.cleared {
+			d = min(d, g.at+voterview.WaitUs)
+			if c.began+voterview.WaitUs > now {
+				d = min(d, c.began+voterview.WaitUs)
+			}
+		}
+	}
+	c.due = max(d, now+1_000)
+	if d == math.MaxInt64 {
+		c.due = d
+	}
+}
+
+// Table is the routing table in force here and its register's revision.
+func (c *Core) Table() (ports.RoutingTable, uint64) { return c.table, c.tableRev }
+
+// View is what this process learned from the voters.
+func (c *Core) View() *voterview.View { return c.view }
+
+// Snapshot is the voter's whole state as one entry of its log.
+func (c *Core) Snapshot() *schema.VoterLog { return c.voter.Snapshot() }
--- /dev/null
+++ b/coordinator/process.go
@@ -0,0 +1,277 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"stoneford/ballots"
+	"stoneford/cleanup"
+	"stoneford/links"
+	"stoneford/ports"
+	"stoneford/result"
+	"stoneford/schema"
+	"stoneford/switchover"
+	"stoneford/voterlog"
+)
+
+const (
+	lineLength  = 4096
+	mostAtOnce  = 128
+	promoteWait = 1500 * time.Millisecond
+	leaveWait   = 400 * time.Millisecond
+)
+
+// Process is one control process.
+type Process struct {
+	dbs    ports.Databases
+	prov   ports.Provider
+	boot   ports.Boot
+	core   *Core
+	store  *voterlog.Log
+	links  *links.Links
+	in     chan any
+	began  time.Time
+	ids    atomic.Uint64
+	wait   sync.Map // id to chan any
+	ctx    context.Context
+	folder string
+}
+
+var _ ports.ControlProcess = (*Process)(nil)
+
+// NewProcess makes a control process; what its disk holds is read when it runs.
+func NewProcess(b ports.Boot, dbs ports.Databases, prov ports.Provider) (ports.ControlProcess, error) {
+	return &Process{dbs: dbs, prov: prov, boot: b, in: make(chan any, lineLength), began: time.Now(), ctx: context.Background()}, nil
+}
+
+// nowUs is this process's monotonic time; it starts at a second, so that 0 can
+// stand for never.
+func (p *Process) nowUs() int64 { return time.Since(p.began).Microseconds() + 1_000_000 }
+
+// restore opens the voter's log and makes the core of what it holds.
+func (p *Process) restore(run uint64) error {
+	var nonce [4]byte
+	if _, err := rand.Read(nonce[:]); err != nil {
+		return err
+	}
+	folder := filepath.Join(p.boot.DataFolder, "voter")
+	var es []*schema.VoterLog
+	keep := func(l *schema.VoterLog) { es = append(es, l) }
+	st, err := voterlog.Open(folder, keep)
+	if voterlog.ErrDamaged.Has(err) {
+		to, moved := voterlog.SetAside(folder, time.Now().UnixMicro())
+		log.WithFields(log.Fields{"code": int(result.LogDamaged), "moved_to": to}).WithError(err).Error(result.LogDamaged.String())
+		if moved != nil {
+			return moved
+		}
+		es = nil
+		st, err = voterlog.Open(folder, keep)
+	}
+	if err != nil {
+		return err
+	}
+	p.store = st
+	voters := p.boot.SeedVoters()
+	build := func() *ballots.Voter {
+		v := ballots.NewVoter(p.boot.ControlNode(), voters, binary.LittleEndian.Uint32(nonce[:]))
+		for _, l := range es {
+			v.Restore(l)
+		}
+		return v
+	}
+	v := build()
+	if r := v.Roster(); len(r) > 0 {
+		// Whoever it was formed with, however the seeds were exchanged since.
+		voters = r
+		v = build()
+	}
+	p.core = NewCore(p.boot, v, voters, run)
+	return nil
+}
+
+// Run serves until the context ends, then leaves in order.
+func (p *Process) Run(ctx context.Context) (err error) {
+	var cl cleanup.Stack
+	defer func() { err = errors.Join(err, cl.Run()) }()
+	if err := p.restore(uint64(p.began.UnixMicro())); err != nil {
+		return err
+	}
+	cl.Push(p.store.Close)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	cl.Push(func() error { stop(); return nil })
+	p.ctx = work
+	p.links = links.New(work, p.boot.ControlNode(), links.Local(p.boot.ControlNode()), p.take)
+	ln, err := net.Listen("tcp", p.boot.ControlNode())
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- p.links.Serve(ln) }()
+	p.core.Start(p.nowUs())
+	log.WithFields(log.Fields{"name": p.boot.Name, "listen": p.boot.ControlNode()}).Info("stoneford-control is up")
+	t := time.NewTimer(0)
+	defer t.Stop()
+	done := ctx.Done()
+	var end <-chan time.Time
+	var evs []any
+	for {
+		evs = evs[:0]
+		select {
+		case err := <-failed:
+			return err
+		case <-done:
+			done = nil
+			evs = append(evs, Stop{})
+			end = time.After(leaveWait)
+		case <-end:
+			return nil
+		case <-t.C:
+		case e := <-p.in:
+			evs = append(evs, e)
+		}
+		for more := true; more && len(evs) < mostAtOnce; {
+			select {
+			case e := <-p.in:
+				evs = append(evs, e)
+			default:
+				more = false
+			}
+		}
+		if err := p.step(evs); err != nil {
+			return err
+		}
+		t.Reset(time.Duration(max(p.core.Due()-p.nowUs(), 0)) * time.Microsecond)
+	}
+}
+
+func (p *Process) take(e *schema.Envelope) {
+	select {
+	case p.in <- e:
+	default: // whatever matters is repeated by its sender
+	}
+}
+
+func (p *Process) post(e any) {
+	select {
+	case p.in <- e:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *Process) step(evs []any) error {
+	for i, e := range evs {
+		if b, ok := e.(ports.Boot); ok {
+			p.core.SetBoot(b)
+			evs[i] = nil
+		}
+	}
+	fx := p.core.Step(p.nowUs(), evs...)
+	if len(fx.Log) > 0 {
+		if err := p.store.Write(fx.Log, p.core.Snapshot); err != nil {
+			return err
+		}
+	}
+	for _, s := range fx.Send {
+		p.links.Send(s.To, s.Env)
+	}
+	for _, d := range fx.Do {
+		switch d := d.(type) {
+		case Announced:
+			p.end(d.ID, d)
+		case Changed:
+			p.end(d.ID, d)
+		case Fetched:
+			p.end(d.ID, d)
+		case Ask:
+			go p.ask(d)
+		case Promote:
+			go p.promote(d)
+		case Say:
+			log.WithFields(log.Fields{"code": int(d.Code), "what": d.Text}).Info(d.Code.String())
+		}
+	}
+	return nil
+}
+
+func (p *Process) ask(d Ask) {
+	ctx, stop := context.WithTimeout(p.ctx, time.Duration(d.Ask.WaitUs)*time.Microsecond)
+	defer stop()
+	i := d.Ask.Instance
+	st, code, err := p.dbs.Do(ctx, i.Address, i.Group, i.ID, ports.Op{Own: true, St: ports.Statement{Kind: d.Ask.Kind}, Term: d.Ask.Term})
+	s := switchover.Said{ID: d.Ask.ID, Status: st}
+	switch {
+	case err != nil:
+		s.Err, s.NotThere = err.Error(), !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err)
+	case code == ports.WrongInstance:
+		s.Err, s.NotThere = "another database is there", true
+	case code != ports.Done:
+		s.Err = "the database bounced it"
+	}
+	p.post(Said{Group: d.Group, Said: s})
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+func (p *Process) promote(d Promote) {
+	ctx, stop := context.WithTimeout(p.ctx, promoteWait)
+	defer stop()
+	code, err := p.prov.Promote(ctx, d.Group, d.Promote.ID, d.Promote.Owner, d.Promote.Fence)
+	log.WithFields(log.Fields{"group": d.Group, "database": d.Promote.ID, "status": code}).Info("the platform was asked for a primary")
+	p.post(Promoted{Group: d.Group, OK: err == nil && code == http.StatusOK, Gone: err == nil && code == http.StatusConflict})
+}
+
+func (p *Process) end(id uint64, v any) {
+	if ch, ok := p.wait.LoadAndDelete(id); ok {
+		ch.(chan any) <- v
+	}
+}
+
+// call posts an event made with a new id and waits for what ends it.
+func (p *Process) call(ctx context.Context, build func(id uint64) any) any {
+	id := p.ids.Add(1)
+	ch := make(chan any, 1)
+	p.wait.Store(id, ch)
+	p.post(build(id))
+	select {
+	case v := <-ch:
+		return v
+	case <-ctx.Done():
+	case <-p.ctx.Done():
+	}
+	p.wait.Delete(id)
+	return nil
+}
+
+// Announce implements ports.Control.
+func (p *Process) Announce(ctx context.Context, i ports.Instance) (bool, string) {
+	v, ok := p.call(ctx, func(id uint64) any { return Announce{ID: id, Instance: i} }).(Announced)
+	return ok && v.OK, ""
+}
+
+// Change implements ports.Control.
+func (p *Process) Change(ctx context.Context, c ports.TableChange) ports.ChangeResult {
+	v, _ := p.call(ctx, func(id uint64) any { return Change{ID: id, Change: c} }).(Changed)
+	return v.Result
+}
+
+// Fetch implements ports.Control.
+func (p *Process) Fetch(ctx context.Context) (ports.RoutingTable, bool) {
+	v, ok := p.call(ctx, func(id uint64) any { return Fetch{ID: id} }).(Fetched)
+	return v.Table, ok && v.OK
+}
+
+// SetBoot implements ports.ControlProcess.
+func (p *Process) SetBoot(b ports.Boot) { p.post(b) }
--- a/result/result.go
+++ b/result/result.go
@@ -76,6 +76,7 @@
 	LogDamaged           Code = 513
 	BookingMoved         Code = 514
 	MemberAside          Code = 515
+	InstanceSaid         Code = 516
 )
 
 // Row is one code's line in the table.
--- /dev/null
+++ b/routingtable/routingtable.go
@@ -0,0 +1,132 @@
+// Package routingtable changes and checks the operators' routing tables, and
+// writes them as registers hold them (design 14.12).
+package routingtable
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ports"
+	"stoneford/schema"
+)
+
+// Encode writes a table; equal tables give equal bytes.
+func Encode(t ports.RoutingTable) []byte {
+	m := &schema.RoutingTable{Revision: t.Revision, IdleUs: t.Limits.IdleUs, TxIdleUs: t.Limits.TxIdleUs, Limits: t.Limits.Source}
+	for _, r := range t.Routes {
+		m.Routes = append(m.Routes, &schema.RouteItem{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: uint32(r.Kind), Group: r.Group,
+			ExpiryUs: r.ExpiryUs, AimUs: r.AimUs, StaleUs: r.StaleUs, Rank: int32(r.Rank), Tries: int32(r.Tries), Source: r.Source})
+	}
+	for _, g := range t.Groups {
+		m.Groups = append(m.Groups, &schema.GroupItem{Name: g.Name, ConnLimit: int32(g.ConnLimit), Sync: int32(g.Sync), Source: g.Source})
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Decode reads a table; no bytes are the empty table.
+func Decode(b []byte) (ports.RoutingTable, error) {
+	m := &schema.RoutingTable{}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return ports.RoutingTable{}, err
+	}
+	t := ports.RoutingTable{Revision: m.Revision, Limits: ports.Limits{IdleUs: m.IdleUs, TxIdleUs: m.TxIdleUs, Source: m.Limits}}
+	for _, r := range m.Routes {
+		t.Routes = append(t.Routes, ports.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: ports.ClassKind(r.Kind), Group: r.Group,
+			ExpiryUs: r.ExpiryUs, AimUs: r.AimUs, StaleUs: r.StaleUs, Rank: int(r.Rank), Tries: int(r.Tries), Source: r.Source})
+	}
+	for _, g := range m.Groups {
+		t.Groups = append(t.Groups, ports.Group{Name: g.Name, ConnLimit: int(g.ConnLimit), Sync: int(g.Sync), Source: g.Source})
+	}
+	return t, nil
+}
+
+// Apply makes the table that a change leads to from old, and names every reason
+// why it is not a valid one; where there are reasons the table is not to be
+// used.
+func Apply(old ports.RoutingTable, c ports.TableChange) (ports.RoutingTable, []string) {
+	ps := slices.Clone(c.Problems)
+	t := ports.RoutingTable{Revision: c.Revision, Limits: old.Limits}
+	if !c.Whole {
+		t.Routes, t.Groups = slices.Clone(old.Routes), slices.Clone(old.Groups)
+		t.Routes = slices.DeleteFunc(t.Routes, func(r ports.Route) bool { return slices.Contains(c.RemoveRoutes, r.Name) })
+		t.Groups = slices.DeleteFunc(t.Groups, func(g ports.Group) bool { return slices.Contains(c.RemoveGroups, g.Name) })
+	}
+	ps = append(ps, twice("route", c.Routes, func(r ports.Route) string { return r.Name })...)
+	ps = append(ps, twice("group", c.Groups, func(g ports.Group) string { return g.Name })...)
+	t.Routes = put(t.Routes, c.Routes, func(r ports.Route) string { return r.Name })
+	t.Groups = put(t.Groups, c.Groups, func(g ports.Group) string { return g.Name })
+	if c.Limits != nil {
+		t.Limits = *c.Limits
+	}
+	if c.Revision <= old.Revision {
+		ps = append(ps, fmt.Sprintf("revision %d is not above %d, which is in force", c.Revision, old.Revision))
+	}
+	return t, append(ps, Check(t)...)
+}
+
+// Check names every reason why a table cannot be worked by.
+func Check(t ports.RoutingTable) []string {
+	var ps []string
+	gs := map[string]bool{}
+	for _, g := range t.Groups {
+		gs[g.Name] = true
+		if g.Name == "" {
+			ps = append(ps, "a group has no name")
+		}
+		if g.ConnLimit < 0 || g.Sync < 0 {
+			ps = append(ps, fmt.Sprintf("group %s: a number is below 0", g.Name))
+		}
+	}
+	at := map[[2]string]string{}
+	for _, r := range t.Routes {
+		switch {
+		case r.Name == "":
+			ps = append(ps, "a route has no name")
+		case r.Host == "":
+			ps = append(ps, fmt.Sprintf("route %s has no host", r.Name))
+		case !gs[r.Group]:
+			ps = append(ps, fmt.Sprintf("route %s: unknown group %q", r.Name, r.Group))
+		}
+		if r.ExpiryUs <= 0 {
+			ps = append(ps, fmt.Sprintf("route %s: its time is 0", r.Name))
+		}
+		if r.StaleUs < 0 || r.AimUs < 0 {
+			ps = append(ps, fmt.Sprintf("route %s: a time is below 0", r.Name))
+		}
+		k := [2]string{r.Host, r.Prefix}
+		if o, ok := at[k]; ok {
+			ps = append(ps, fmt.Sprintf("routes %s and %s share host %s and prefix %q", o, r.Name, r.Host, r.Prefix))
+		}
+		at[k] = r.Name
+	}
+	return ps
+}
+
+func put[T any](old, items []T, name func(T) string) []T {
+	for _, i := range items {
+		if at := slices.IndexFunc(old, func(o T) bool { return name(o) == name(i) }); at >= 0 {
+			old[at] = i
+		} else {
+			old = append(old, i)
+		}
+	}
+	return old
+}
+
+func twice[T any](what string, items []T, name func(T) string) []string {
+	var ps []string
+	seen := map[string]bool{}
+	for _, i := range items {
+		if seen[name(i)] {
+			ps = append(ps, fmt.Sprintf("%s %s stands twice", what, name(i)))
+		}
+		seen[name(i)] = true
+	}
+	return ps
+}
--- /dev/null
+++ b/sessionpool/core.go
@@ -0,0 +1,149 @@
+package sessionpool
+
+import (
+	"slices"
+	"strings"
+
+	"stoneford/ports"
+	"stoneford/routingtable"
+	"stoneford/schema"
+	"stoneford/sessiontable"
+	"stoneford/step"
+	"stoneford/voterview"
+)
+
+// Core is a pool node: what it learned from the voters over the table of its
+// sessions. It is deterministic and is what the simulator runs.
+type Core struct {
+	Table   *sessiontable.Table
+	view    *voterview.View
+	table   ports.RoutingTable
+	rev     uint64
+	lease   int64
+	nodes   int
+	leaving bool
+	began   int64
+}
+
+// Effects of one step.
+type Effects struct {
+	Send []step.Send
+	Do   []sessiontable.Effect
+}
+
+// NewCore makes a node; run must be greater than any earlier run's.
+func NewCore(b ports.Boot, run, seed uint64, o sessiontable.Options) *Core {
+	return &Core{Table: sessiontable.New(seed, b.Zone, o), view: voterview.New(b.PoolNode(), b.SeedVoters(), b.Zone, b.Name, "pool", run)}
+}
+
+// Due is when Step has something to do next even if nothing happens.
+func (c *Core) Due() int64 { return min(c.Table.Due(), c.view.Due()) }
+
+// Step takes events of the table's, and voters' envelopes, then does what is
+// due.
+func (c *Core) Step(now int64, evs ...any) Effects {
+	var fx Effects
+	for _, e := range evs {
+		switch e := e.(type) {
+		case *schema.Envelope:
+			if b, ok := e.Body.(*schema.Envelope_LookReturn); ok {
+				c.view.Step(now, e.From, b.LookReturn)
+				c.learned(now, &fx)
+			}
+			continue
+		case sessiontable.Stop:
+			c.leaving = true
+			c.view.Want()
+		}
+		c.do(now, &fx, e)
+	}
+	if now >= c.Table.Due() {
+		c.do(now, &fx, sessiontable.Tick{})
+	}
+	if c.Table.Changed() {
+		c.view.Want()
+	}
+	if now >= c.view.Due() {
+		fx.Send = c.view.Tick(now, func() voterview.Report { return c.report(now) })
+	}
+	return fx
+}
+
+func (c *Core) do(now int64, fx *Effects, e any) {
+	for _, d := range c.Table.Step(now, e) {
+		if _, ok := d.(sessiontable.Look); ok {
+			c.view.Want()
+			continue
+		}
+		fx.Do = append(fx.Do, d)
+	}
+}
+
+// learned hands what the view found to the table.
+func (c *Core) learned(now int64, fx *Effects) {
+	ks, dbs := c.view.Take()
+	var v sessiontable.View
+	some := false
+	for _, k := range ks {
+		if k == voterview.TableKey {
+			a, ok := c.view.Agreed(k)
+			if !ok || a.Revision <= c.rev {
+				continue
+			}
+			t, err := routingtable.Decode(a.Data)
+			if err != nil {
+				continue // what voters agreed on they have read themselves
+			}
+			c.rev, c.table = a.Revision, t
+			v.Table, some = &c.table, true
+		}
+	}
+	if slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) }) {
+		v.Groups, some = map[string]sessiontable.GroupView{}, true
+		for n, l := range c.view.Leaderships() {
+			v.Groups[n] = sessiontable.GroupView{Leadership: l, Doubt: c.view.Doubt(voterview.LeaderPrefix + n)}
+		}
+		c.view.Want() // the voters wait to hear that this node knows
+	}
+	if dbs {
+		v.Instances, some = c.view.Instances(), true
+		if v.Instances == nil {
+			v.Instances = []ports.Instance{}
+		}
+	}
+	if n := c.view.Nodes(); n != c.nodes {
+		c.nodes, some = n, true
+	}
+	if l := c.view.LeaseUntil(); l != c.lease {
+		c.lease, some = l, true
+	}
+	if some {
+		v.LeaseUntil, v.Nodes = c.lease, c.nodes
+		c.do(now, fx, v)
+	}
+}
+
+// report is what the next look tells.
+func (c *Core) report(now int64) voterview.Report {
+	r := c.Table.Report(now)
+	out := voterview.Report{Leaving: c.leaving}
+	for _, s := range r.Sightings {
+		out.Sightings = append(out.Sightings, &schema.Sighting{Id: s.ID, FailingUs: s.FailingUs, Cut: s.Cut})
+	}
+	for _, w := range r.Words {
+		k := voterview.LeaderPrefix + w.Group
+		rev, quiet := w.Revision, w.Quiet
+		if c.view.Doubt(k) {
+			// It knows that something newer is on its way and rests on nothing older.
+			rev, quiet = c.view.Seen(k), false
+		}
+		out.Words = append(out.Words, &schema.GroupWord{Group: w.Group, Revision: rev, AckedTerm: w.Acked.Term, AckedNumber: w.Acked.Number, Quiet: quiet})
+	}
+	return out
+}
+
+// Revision is the operators' revision of the routing table in force here.
+func (c *Core) Revision() uint64 { return c.table.Revision }
+
+// Ready says whether a caller's statement could be served now.
+func (c *Core) Ready(now int64) bool { return !c.leaving && c.rev > 0 && c.Table.Ready(now) }
--- /dev/null
+++ b/sessionpool/edges.go
@@ -0,0 +1,53 @@
+// Package sessionpool is a pool node on a platform of databases that announce
+// themselves: the core (package sessiontable) behind its edges.
+package sessionpool
+
+import (
+	"context"
+
+	"stoneford/ports"
+)
+
+// Callers takes callers' connections until the context ends.
+type Callers interface {
+	Serve(ctx context.Context, e Events) error
+}
+
+// Events is what callers do. Asked brings a session's next statement only after
+// the reply to the one before was queued. The replies to an event may be queued
+// before its call returns.
+type Events interface {
+	Opened(c Caller, host string) (session uint64)
+	Asked(session uint64, st ports.Statement)
+	Left(session uint64)
+}
+
+// Caller is one caller's session at the edge. Reply and End queue, in order, and
+// never block; Flush writes what was queued and does not wait for a caller that
+// does not read.
+type Caller interface {
+	Reply(r ports.Reply)
+	End() // closes the session behind what was queued
+	Flush()
+}
+
+// Dialer opens connections to databases. With an error, the code is what the
+// database said, if it said anything.
+type Dialer interface {
+	Dial(ctx context.Context, address, group, id string) (Database, ports.Position, ports.Code, error)
+}
+
+// Database is one connection to a database. Queue never blocks; Flush writes
+// what was queued, in one write. Read waits for an answer and appends it and
+// those that came along with it.
+type Database interface {
+	Queue(ops []ports.Op)
+	Flush()
+	Read(into []ports.Answer) ([]ports.Answer, error)
+	Close()
+}
+
+// Probe answers whether the node is ready, until the context ends.
+type Probe interface {
+	Serve(ctx context.Context, ready func() bool) error
+}
--- /dev/null
+++ b/switchover/switchover.go
@@ -0,0 +1,680 @@
+// Package switchover decides, for one group, who leads it where followers can be
+// held but not sealed: it founds the group, replaces a primary that is lost or
+// that leaves, and tidies up behind (design 14.6, 14.7). Group is a
+// deterministic core; every step that counts is a revision of the group's
+// register, so two processes that act at once do no harm.
+package switchover
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ports"
+	"stoneford/result"
+	"stoneford/schema"
+)
+
+// Sight is what the pool nodes say of one database.
+type Sight struct {
+	Nodes     int   // that cannot use it
+	Cut       int   // of these, whose connections ended
+	FailingUs int64 // longest
+}
+
+// Input is what a step is told beside the time.
+type Input struct {
+	Group     string
+	Sync      int
+	State     *schema.Leadership
+	Rev       uint64
+	Settled   bool // State is the newest that any voter holds
+	Acts      bool // this process carries the group's changes out
+	Self      string
+	Instances []ports.Instance // of this group, none that is gone
+	Heard     map[string]int64 // when each last announced itself here
+	Sights    map[string]Sight
+	Nodes     int  // pool nodes that looked lately
+	Quiet     bool // all of them say that nothing is under way at the primary
+	Told      bool // all of them know of the newest revision
+	Cleared   bool // no node relies on an older revision any more
+	Acked     ports.Position
+}
+
+// Effects.
+type (
+	// Ask puts a question to a database; Kind is Status, Hold, Resume or StepDown.
+	Ask struct {
+		ID       uint64
+		Instance ports.Instance
+		Kind     ports.Kind
+		Term     uint64
+		WaitUs   int64
+	}
+	// Put asks for a new revision of the group's register.
+	Put struct {
+		Base uint64
+		Data []byte
+	}
+	// Promote asks the platform to have a database lead.
+	Promote struct {
+		ID    string
+		Owner string
+		Fence uint64
+	}
+	// Say is for the log.
+	Say struct {
+		Code result.Code
+		Text string
+	}
+)
+
+// Said ends an Ask.
+type Said struct {
+	ID       uint64
+	Err      string
+	NotThere bool // nobody listens at its address, or another database does
+	Status   ports.DatabaseStatus
+}
+
+const (
+	askWait       = 400_000
+	probeEvery    = 60_000
+	holdEvery     = 60_000
+	lookEvery     = 40_000    // at a database that is being promoted
+	silentAfter   = 450_000   // a primary that does not answer this long is given up
+	beatsMissed   = 4_000_000 // an announcement that is so late has the database looked at
+	quietWait     = 250_000   // longest that open transactions hold a planned switch up
+	promoteEvery  = 1_500_000 // the platform is asked again
+	promoteAgain  = 250_000   // where it bounced the call
+	targetGone    = 900_000
+	planEvery     = 400_000
+	planMost      = 4_500_000 // a primary that leaves is left then, however its followers stand
+	stepDownEvery = 700_000
+	tidyEvery     = 250_000
+	tidyFor       = 8_000_000
+	goneGrace     = 300_000
+	behindMost    = 400 // commits that a follower may lack as a planned switch begins
+)
+
+type seen struct {
+	status ports.DatabaseStatus
+	at     int64 // when the newest answer's question left
+	known  bool
+	err    int64 // since when it does not answer, 0 if it does
+	gone   int64 // since when nobody listens there
+	fails  int
+	asking uint64
+	next   int64
+	held   uint64 // seen held at this term
+	heldAt int64
+}
+
+type question struct {
+	id   string
+	kind ports.Kind
+	at   int64
+}
+
+// Group decides for one group.
+type Group struct {
+	m       map[string]*seen
+	qs      map[uint64]question
+	n       uint64
+	rev     uint64 // revision that the times below are of
+	since   int64  // when it was first acted on
+	putting int64
+	asked   int64 // when the platform was last asked
+	bounced bool
+	calls   int
+	tidied  map[string]bool
+	plan    int64
+	leaving map[string]int64
+	begun   int64 // when the change under way was first seen here
+	due     int64
+	fx      []any
+}
+
+// New makes a group's decider.
+func New() *Group {
+	return &Group{m: map[string]*seen{}, qs: map[uint64]question{}, tidied: map[string]bool{}, leaving: map[string]int64{}}
+}
+
+// Due is when Step has something to do next even if nothing happens.
+func (g *Group) Due() int64 { return g.due }
+
+func (g *Group) wake(at int64) { g.due = min(g.due, at) }
+
+// PutDone tells that a Put has ended, however.
+func (g *Group) PutDone() { g.putting = 0 }
+
+// Promoted ends a Promote: ok if the platform took it, gone if it says that the
+// database is not running.
+func (g *Group) Promoted(now int64, ok, gone bool) {
+	if gone {
+		g.asked, g.bounced = now, true
+		for _, s := range g.m {
+			s.next = 0
+		}
+		return
+	}
+	g.bounced = !ok
+}
+
+// Said takes a database's answer.
+func (g *Group) Said(now int64, e Said) {
+	q, ok := g.qs[e.ID]
+	delete(g.qs, e.ID)
+	s := g.m[q.id]
+	if !ok || s == nil {
+		return
+	}
+	if s.asking == e.ID {
+		s.asking = 0
+	}
+	if e.Err != "" {
+		s.fails++
+		if s.err == 0 {
+			s.err = q.at
+		}
+		if e.NotThere {
+			if s.gone == 0 {
+				s.gone = q.at
+			}
+		} else {
+			s.gone = 0
+		}
+		return
+	}
+	if s.known && q.at < s.at {
+		return
+	}
+	s.status, s.at, s.known, s.err, s.gone, s.fails = e.Status, q.at, true, 0, 0, 0
+	if e.Status.Held > 0 {
+		s.held, s.heldAt = e.Status.Held, q.at
+	} else {
+		s.held = 0
+	}
+}
+
+func (g *Group) say(c result.Code, f string, a ...any) {
+	g.fx = append(g.fx, Say{Code: c, Text: fmt.Sprintf(f, a...)})
+}
+
+func (g *Group) ask(now int64, i ports.Instance, k ports.Kind, term uint64, every int64) {
+	s := g.m[i.ID]
+	if s.asking != 0 || now < s.next {
+		g.wake(max(s.next, now+every))
+		return
+	}
+	g.n++
+	s.asking, s.next = g.n, now+every
+	g.qs[g.n] = question{id: i.ID, kind: k, at: now}
+	g.fx = append(g.fx, Ask{ID: g.n, Instance: i, Kind: k, Term: term, WaitUs: askWait})
+	g.wake(now + every)
+}
+
+func (g *Group) put(now int64, in Input, s *schema.Leadership) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	g.putting = now
+	g.fx = append(g.fx, Put{Base: in.Rev, Data: b})
+}
+
+// next is the state that follows, with this process as its holder.
+func next(in Input, p ports.Phase, cause string) *schema.Leadership {
+	n := proto.Clone(in.State).(*schema.Leadership)
+	n.Phase, n.Cause = uint32(p), cause
+	if n.Holder != in.Self {
+		n.Holder, n.Fence = in.Self, n.Fence+1
+	}
+	return n
+}
+
+// Step does what is due.
+func (g *Group) Step(now int64, in Input) []any {
+	g.fx, g.due = nil, math.MaxInt64
+	if !in.Acts || !in.Settled {
+		if !in.Acts {
+			// What another does meanwhile makes what was seen here old.
+			for _, s := range g.m {
+				s.known, s.held, s.err, s.gone = false, 0, 0, 0
+			}
+			g.rev = 0
+		}
+		return nil
+	}
+	for _, i := range in.Instances {
+		if g.m[i.ID] == nil {
+			g.m[i.ID] = &seen{}
+		}
+		if i.Leaving && g.leaving[i.ID] == 0 {
+			g.leaving[i.ID] = now
+		}
+	}
+	gone := func(id string) bool { _, ok := find(in, id); return !ok }
+	maps.DeleteFunc(g.m, func(id string, _ *seen) bool { return gone(id) })
+	maps.DeleteFunc(g.leaving, func(id string, _ int64) bool { return gone(id) })
+	if g.putting > 0 && now-g.putting < 4_000_000 {
+		return g.fx
+	}
+	if g.rev != in.Rev {
+		g.rev, g.since, g.asked, g.calls, g.bounced = in.Rev, now, 0, 0, false
+		clear(g.tidied)
+		if ports.Phase(in.State.GetPhase()) == ports.PhaseOpen {
+			g.begun = 0
+		} else if g.begun == 0 {
+			g.begun = now
+		}
+	}
+	switch {
+	case in.Rev == 0:
+		g.found(now, in)
+	case ports.Phase(in.State.Phase) == ports.PhaseOpen:
+		g.open(now, in)
+	case ports.Phase(in.State.Phase) == ports.PhaseClosing:
+		g.closing(now, in)
+	case ports.Phase(in.State.Phase) == ports.PhaseSealing:
+		g.sealing(now, in)
+	default:
+		g.promoting(now, in)
+	}
+	return g.fx
+}
+
+func find(in Input, id string) (ports.Instance, bool) {
+	i := slices.IndexFunc(in.Instances, func(i ports.Instance) bool { return i.ID == id })
+	if i < 0 {
+		return ports.Instance{}, false
+	}
+	return in.Instances[i], true
+}
+
+// found begins with the database that leads already.
+func (g *Group) found(now int64, in Input) {
+	for _, i := range in.Instances {
+		if !i.Primary {
+			continue
+		}
+		if s := g.m[i.ID]; s.known && s.status.Primary {
+			g.say(result.TakeoverSeen, "%s: %s leads term %d as found", in.Group, i.ID, s.status.Term)
+			g.put(now, in, &schema.Leadership{Term: s.status.Term, Primary: i.ID, Address: i.Address, Holder: in.Self, Fence: 1, Cause: "found"})
+			return
+		}
+		g.ask(now, i, ports.Status, 0, probeEvery*2)
+	}
+}
+
+// open looks after a group that has a primary.
+func (g *Group) open(now int64, in Input) {
+	st := in.State
+	p, ok := find(in, st.Primary)
+	if g.adopt(now, in, ok) {
+		return
+	}
+	if !ok {
+		if why := g.lost(now, in); why != "" {
+			g.seal(now, in, why)
+		}
+		return
+	}
+	if why := g.suspect(now, in, p); why != "" {
+		g.seal(now, in, why)
+		return
+	}
+	g.tidy(now, in)
+	if p.Leaving {
+		g.leave(now, in, p)
+	}
+}
+
+// adopt takes a primary that came back by itself with another identity, or one
+// that the platform promoted for a process that died before it could say so.
+func (g *Group) adopt(now int64, in Input, there bool) bool {
+	for _, i := range in.Instances {
+		if i.ID == in.State.Primary || !i.Primary {
+			continue
+		}
+		s := g.m[i.ID]
+		if !s.known || !s.status.Primary {
+			if !there {
+				g.ask(now, i, ports.Status, 0, probeEvery*2)
+			}
+			continue
+		}
+		if s.status.Term > in.State.Term || s.status.Term == in.State.Term && !there {
+			n := next(in, ports.PhaseOpen, "came back")
+			n.Term, n.Primary, n.Address = s.status.Term, i.ID, i.Address
+			g.say(result.TakeoverSeen, "%s: %s leads term %d, come back", in.Group, i.ID, n.Term)
+			g.put(now, in, n)
+			return true
+		}
+	}
+	return false
+}
+
+// lost says why a group whose primary is no longer announced is to have another.
+func (g *Group) lost(now int64, in Input) string {
+	if now-g.since < goneGrace {
+		g.wake(g.since + goneGrace)
+		return ""
+	}
+	if slices.ContainsFunc(in.Instances, func(i ports.Instance) bool { return i.Primary }) {
+		return "" // one that leads is being looked at
+	}
+	if len(in.Instances) == 0 {
+		return ""
+	}
+	return "the primary is gone"
+}
+
+// suspect looks at a primary that nodes cannot use, or that does not announce
+// itself, and says why it is given up.
+func (g *Group) suspect(now int64, in Input, p ports.Instance) string {
+	s := g.m[p.ID]
+	w := in.Sights[p.ID]
+	late := in.Heard[p.ID] > 0 && now-in.Heard[p.ID] > beatsMissed
+	if !late && in.Heard[p.ID] > 0 {
+		g.wake(in.Heard[p.ID] + beatsMissed)
+	}
+	if w.Nodes == 0 && !late {
+		s.err, s.gone, s.fails = 0, 0, 0
+		return ""
+	}
+	if s.err == 0 && s.known && s.at > g.since && now-s.at < probeEvery*3 && s.asking == 0 && w.Nodes <= in.Nodes/2 {
+		// It answers this process; some nodes have trouble of their own.
+		g.wake(now + probeEvery*3)
+		return ""
+	}
+	switch {
+	case s.gone > 0 && (s.fails >= 2 || w.Cut >= 2):
+		return fmt.Sprintf("nobody listens at the primary's address; %d nodes cannot use it", w.Nodes)
+	case s.err > 0 && now-s.err >= silentAfter && (w.Nodes*2 > in.Nodes || late || w.FailingUs >= silentAfter && w.Nodes > 1):
+		return fmt.Sprintf("the primary is silent; %d of %d nodes cannot use it", w.Nodes, in.Nodes)
+	}
+	if s.err > 0 {
+		g.wake(s.err + silentAfter)
+	}
+	g.ask(now, p, ports.Status, 0, probeEvery)
+	return ""
+}
+
+// leave begins a planned switch once the followers are well.
+func (g *Group) leave(now int64, in Input, p ports.Instance) {
+	late := now-g.leaving[p.ID] > planMost
+	well := 0
+	ps := g.m[p.ID]
+	for _, i := range in.Instances {
+		s := g.m[i.ID]
+		if i.ID != p.ID && !i.Leaving && s.known && s.err == 0 && !s.status.Primary && s.status.Held == 0 &&
+			ps.known && ps.status.Received.Number-s.status.Received.Number <= behindMost {
+			well++
+		}
+		g.ask(now, i, ports.Status, 0, planEvery)
+	}
+	if well > 0 || late && len(in.Instances) > 1 {
+		n := next(in, ports.PhaseClosing, p.ID+" leaves")
+		n.Old = p.ID
+		g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, st(in).Term, n.Cause)
+		g.put(now, in, n)
+	}
+}
+
+func st(in Input) *schema.Leadership { return in.State }
+
+// closing waits until nothing is under way at the primary.
+func (g *Group) closing(now int64, in Input) {
+	if in.Quiet || now-g.since >= quietWait {
+		g.seal(now, in, in.State.Cause)
+		return
+	}
+	g.wake(g.since + quietWait)
+}
+
+// seal opens the change: from its agreement on nothing goes to any primary.
+func (g *Group) seal(now int64, in Input, why string) {
+	n := next(in, ports.PhaseSealing, why)
+	n.Old, n.SealRev, n.Asked = in.State.Primary, in.Rev+1, false
+	n.Followers = nil
+	for _, i := range in.Instances {
+		if i.ID != in.State.Primary {
+			n.Followers = append(n.Followers, i.ID)
+		}
+	}
+	if ports.Phase(in.State.Phase) == ports.PhaseOpen {
+		g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, in.State.Term, why)
+	}
+	g.put(now, in, n)
+}
+
+// holdTerm is above every term seen.
+func (g *Group) holdTerm(in Input) uint64 {
+	t := in.State.Term
+	for _, s := range g.m {
+		if s.known {
+			t = max(t, s.status.Term)
+		}
+	}
+	return t + 1
+}
+
+// followers are the databases whose word counts: all that are there but the old
+// primary.
+func followers(in Input) []ports.Instance {
+	return slices.DeleteFunc(slices.Clone(in.Instances), func(i ports.Instance) bool { return i.ID == in.State.Old })
+}
+
+// hold has each follower receive nothing more, and returns those that are seen
+// held by a question asked after since; missing are those that are not.
+func (g *Group) hold(now int64, in Input, since int64) (held, missing []ports.Instance) {
+	t := g.holdTerm(in)
+	for _, i := range followers(in) {
+		s := g.m[i.ID]
+		if s.known && s.err == 0 && s.held > in.State.Term && s.heldAt >= since {
+			held = append(held, i)
+			continue
+		}
+		missing = append(missing, i)
+		g.ask(now, i, ports.Hold, t, holdEvery)
+	}
+	return held, missing
+}
+
+// sealing holds the followers and proposes the furthest.
+func (g *Group) sealing(now int64, in Input) {
+	if g.back(now, in) {
+		return
+	}
+	// A database that led a later term already: a promotion that was asked for
+	// took effect late.
+	for _, i := range in.Instances {
+		if s := g.m[i.ID]; s.known && s.status.Primary && s.status.Term > in.State.Term && i.ID != in.State.Old {
+			n := next(in, ports.PhasePromoting, in.State.Cause)
+			n.Primary, n.Address, n.Asked = i.ID, i.Address, true
+			g.put(now, in, n)
+			return
+		}
+	}
+	held, missing := g.hold(now, in, g.since)
+	if len(held) == 0 {
+		return
+	}
+	best := g.furthest(held)
+	if len(missing) > 0 && !g.enough(now, in, best, missing) {
+		return
+	}
+	if in.Sync == 0 && !in.Cleared {
+		g.wake(now + 50_000)
+		return
+	}
+	n := next(in, ports.PhasePromoting, in.State.Cause)
+	n.Primary, n.Address, n.Asked = best.ID, best.Address, true
+	var who []string
+	for _, i := range held {
+		who = append(who, fmt.Sprintf("%s at %d.%d", i.ID, g.m[i.ID].status.Received.Term, g.m[i.ID].status.Received.Number))
+	}
+	g.say(result.TakeoverChosen, "%s: %s is the furthest of %v, %d missing", in.Group, best.ID, who, len(missing))
+	g.put(now, in, n)
+}
+
+// back has the old primary lead on where it is back before the platform was
+// asked for another, whether as it was or in a new life.
+func (g *Group) back(now int64, in Input) bool {
+	if in.State.Asked {
+		return false
+	}
+	for _, o := range in.Instances {
+		if o.Leaving || o.ID != in.State.Old && !o.Primary {
+			continue
+		}
+		if s := g.m[o.ID]; s.known && s.err == 0 && s.at > g.since && s.status.Primary && s.status.Term == in.State.Term {
+			n := next(in, ports.PhaseOpen, "the primary is back")
+			n.Primary, n.Address = o.ID, o.Address
+			g.say(result.TakeoverSeen, "%s: %s leads on in term %d", in.Group, o.ID, n.Term)
+			g.put(now, in, n)
+			return true
+		}
+		if now-g.since > 2*holdEvery {
+			g.ask(now, o, ports.Status, 0, planEvery)
+		}
+	}
+	return false
+}
+
+// furthest is the held follower that has received most; of equals one that does
+// not leave, and the one that is warm.
+func (g *Group) furthest(held []ports.Instance) ports.Instance {
+	return slices.MaxFunc(held, func(a, b ports.Instance) int {
+		x, y := g.m[a.ID].status.Received, g.m[b.ID].status.Received
+		l := func(i ports.Instance) int {
+			if i.Leaving {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(x.Compare(y), cmp.Compare(l(a), l(b)), -cmp.Compare(a.WarmUs, b.WarmUs), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// enough says whether the furthest of those held is known to hold all that was
+// acknowledged although others are missing: every node has told what it
+// acknowledged, after it stopped working by the old primary.
+func (g *Group) enough(now int64, in Input, best ports.Instance, missing []ports.Instance) bool {
+	if !in.Told || !in.Cleared || in.Nodes == 0 {
+		return false
+	}
+	for _, i := range missing {
+		if s := g.m[i.ID]; s.err == 0 || now-s.err < silentAfter {
+			g.wake(now + holdEvery)
+			return false
+		}
+	}
+	return !g.m[best.ID].status.Received.Before(in.Acked)
+}
+
+// promoting sees the agreed target through.
+func (g *Group) promoting(now int64, in Input) {
+	t, ok := find(in, in.State.Primary)
+	if !ok {
+		g.again(now, in, "the chosen one is gone")
+		return
+	}
+	s := g.m[t.ID]
+	if s.known && s.status.Primary && s.status.Term > in.State.Term {
+		if !in.Cleared {
+			g.wake(now + 50_000)
+			return
+		}
+		n := next(in, ports.PhaseOpen, in.State.Cause)
+		n.Term = s.status.Term
+		if g.begun > 0 {
+			n.ExpectUs = now - g.begun
+		}
+		g.say(result.TakeoverSeen, "%s: %s leads term %d after %d ms", in.Group, t.ID, n.Term, n.ExpectUs/1000)
+		g.put(now, in, n)
+		return
+	}
+	if s.gone > 0 && now-s.gone > targetGone {
+		g.again(now, in, "nobody listens at the chosen one's address")
+		return
+	}
+	if g.asked == 0 || g.bounced && now-g.asked >= promoteAgain || now-g.asked >= promoteEvery {
+		// What was held must be seen held just before.
+		since := now - holdEvery*2
+		if g.asked == 0 {
+			since = g.since
+		}
+		held, missing := g.hold(now, in, since)
+		if !slices.ContainsFunc(held, func(i ports.Instance) bool { return i.ID == t.ID }) {
+			if now-g.since > targetGone && g.asked == 0 {
+				g.again(now, in, "the chosen one cannot be held")
+			}
+			return
+		}
+		if g.m[g.furthest(held).ID].status.Received.Compare(s.status.Received) > 0 {
+			g.again(now, in, "another is further by now")
+			return
+		}
+		for _, i := range missing {
+			if g.m[i.ID].err == 0 || now-g.m[i.ID].err < goneGrace {
+				return
+			}
+		}
+		g.asked, g.bounced = now, false
+		g.calls++
+		g.fx = append(g.fx, Promote{ID: t.ID, Owner: in.Self, Fence: in.State.Fence})
+		s.next = now + lookEvery*3
+		g.wake(now + lookEvery*3)
+		return
+	}
+	g.ask(now, t, ports.Status, 0, lookEvery)
+	if g.bounced {
+		g.wake(g.asked + promoteAgain)
+	}
+	g.wake(g.asked + promoteEvery)
+}
+
+// again chooses anew.
+func (g *Group) again(now int64, in Input, why string) {
+	n := next(in, ports.PhaseSealing, why)
+	for _, s := range g.m {
+		if s.known {
+			s.held = 0
+		}
+	}
+	g.say(result.TakeoverWaits, "%s: %s", in.Group, why)
+	g.put(now, in, n)
+}
+
+// tidy has what was held go on, and what led before step down.
+func (g *Group) tidy(now int64, in Input) {
+	for _, i := range in.Instances {
+		if i.ID == in.State.Primary {
+			continue
+		}
+		s := g.m[i.ID]
+		if i.Primary || s.known && s.status.Primary {
+			if s.known && !s.status.Primary && s.at > g.since {
+				continue // it stepped down and did not announce it yet
+			}
+			if now-g.since < tidyFor {
+				g.ask(now, i, ports.StepDown, in.State.Term, stepDownEvery)
+			}
+			continue
+		}
+		if in.State.Old == "" || g.tidied[i.ID] || now-g.since > tidyFor {
+			continue
+		}
+		if s.known && s.at >= g.since && s.status.Held == 0 {
+			g.tidied[i.ID] = true
+			continue
+		}
+		g.ask(now, i, ports.Resume, 0, tidyEvery)
+	}
+}
--- /dev/null
+++ b/voterview/voterview.go
@@ -0,0 +1,377 @@
+// Package voterview is what a process learns from the voters without voting
+// itself: the values that are known to be agreed, the databases that were
+// announced, and a lease of all that (design 14.4). View is a deterministic
+// core.
+package voterview
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/ballots"
+	"stoneford/ports"
+	"stoneford/schema"
+	"stoneford/step"
+)
+
+// Keys of the registers and records.
+const (
+	TableKey       = "routes"
+	LeaderPrefix   = "leader/"
+	DatabasePrefix = "database/"
+)
+
+const (
+	// LeaseUs is how long a look that a majority returned may be relied upon,
+	// from its sending.
+	LeaseUs = 1_500_000
+	// WaitUs is when, on another's clock, such a lease has surely run out: a
+	// tenth longer, for clocks that run at different rates.
+	WaitUs    = LeaseUs * 11 / 10
+	lookEvery = 550_000
+	lookAgain = 150_000 // where the lease is missing
+	urgentGap = 8_000   // least time between two looks asked for
+	keptLooks = 16
+)
+
+type voter struct {
+	life      uint64
+	seq       uint64
+	formed    bool
+	standings []*schema.Standing
+	cells     map[string]*schema.Cell
+	heard     int64
+	nodes     int
+}
+
+type look struct {
+	number uint64
+	at     int64
+	by     map[string]bool
+}
+
+// Chosen is an agreed value.
+type Chosen struct {
+	Revision uint64
+	Data     []byte
+}
+
+// Report is what a process tells the voters with its looks.
+type Report struct {
+	Sightings []*schema.Sighting
+	Words     []*schema.GroupWord
+	Leaving   bool
+}
+
+// View is one process's knowledge.
+type View struct {
+	self, name, zone, kind string
+	run                    uint64
+	voters                 []string
+	vs                     map[string]*voter
+	looks                  []look
+	number                 uint64
+	chosen                 map[string]Chosen
+	seen                   map[string]uint64 // newest revision any voter holds
+	insts                  map[string]*schema.Record
+	leaseUntil             int64
+	next                   int64
+	last                   int64
+	urgent                 bool
+	body                   int // whose bodies are asked for, by place in rank
+	// Since the last Take:
+	changed map[string]bool // keys of registers
+	moved   bool            // databases
+}
+
+// New makes a view; voters are the addresses of the voters known at the start,
+// run is greater than that of any earlier run.
+func New(self string, voters []string, zone, name, kind string, run uint64) *View {
+	v := &View{self: self, name: name, zone: zone, kind: kind, run: run, vs: map[string]*voter{}, chosen: map[string]Chosen{},
+		seen: map[string]uint64{}, insts: map[string]*schema.Record{}, changed: map[string]bool{}}
+	v.setVoters(voters)
+	return v
+}
+
+func (v *View) setVoters(vs []string) {
+	v.voters = slices.Clone(vs)
+	for _, o := range vs {
+		if v.vs[o] == nil {
+			v.vs[o] = &voter{cells: map[string]*schema.Cell{}}
+		}
+	}
+	maps.DeleteFunc(v.vs, func(o string, _ *voter) bool { return !slices.Contains(vs, o) })
+}
+
+// Voters are the voters' addresses.
+func (v *View) Voters() []string { return v.voters }
+
+// LeaseUntil is until when the leaderships are surely the newest that were acted
+// upon, by this process's clock, but for those in doubt.
+func (v *View) LeaseUntil() int64 { return v.leaseUntil }
+
+// Agreed is the newest value known to be agreed of a key.
+func (v *View) Agreed(k string) (Chosen, bool) { c, ok := v.chosen[k]; return c, ok }
+
+// Seen is the newest revision that any voter is known to hold of a key.
+func (v *View) Seen(k string) uint64 { return v.seen[k] }
+
+// Doubt says that a voter holds something newer than what is known as agreed.
+func (v *View) Doubt(k string) bool { return v.seen[k] > v.chosen[k].Revision }
+
+// Heard is when a voter last returned something, 0 for never.
+func (v *View) Heard(o string) int64 {
+	if x := v.vs[o]; x != nil {
+		return x.heard
+	}
+	return 0
+}
+
+// Nodes is how many pool nodes the voters see, as most of them see it.
+func (v *View) Nodes() int {
+	n := 0
+	for _, x := range v.vs {
+		n = max(n, x.nodes)
+	}
+	return n
+}
+
+// Want has the next look leave at once.
+func (v *View) Want() { v.urgent = true }
+
+// Take hands out which registers became newer, or fell into doubt, since the
+// last call, and whether databases changed.
+func (v *View) Take() (keys []string, databases bool) {
+	keys, databases = slices.Sorted(maps.Keys(v.changed)), v.moved
+	clear(v.changed)
+	v.moved = false
+	return keys, databases
+}
+
+// Due is when Tick has something to do next.
+func (v *View) Due() int64 {
+	if v.urgent {
+		return min(v.next, v.last+urgentGap)
+	}
+	return v.next
+}
+
+// Tick sends a look to every voter when one is due.
+func (v *View) Tick(now int64, r func() Report) []step.Send {
+	if now < v.Due() {
+		return nil
+	}
+	v.urgent, v.last = false, now
+	v.next = now + lookEvery
+	if v.leaseUntil < now+lookEvery {
+		v.next = now + lookAgain
+	}
+	v.number++
+	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}})
+	if len(v.looks) > keptLooks {
+		v.looks = slices.Clone(v.looks[1:])
+	}
+	rep := r()
+	var out []step.Send
+	for i, o := range v.order() {
+		x := v.vs[o]
+		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
+			Number: v.number, Life: x.life, Seq: x.seq, Bodies: i == v.body%len(v.voters), Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: rep.Words}}}})
+	}
+	return out
+}
+
+// order ranks the voters for this process, so that bodies are asked of one.
+func (v *View) order() []string {
+	if i := slices.Index(v.voters, v.self); i >= 0 {
+		return append([]string{v.self}, slices.Delete(slices.Clone(v.voters), i, i+1)...)
+	}
+	return step.Rank(v.self, v.voters)
+}
+
+// Step takes a voter's return, or news it sent unasked.
+func (v *View) Step(now int64, from string, m *schema.LookReturn) {
+	x := v.vs[from]
+	if x == nil || m.Life < x.life {
+		return
+	}
+	if m.Life > x.life {
+		if m.Since != 0 {
+			x.life, x.seq = 0, 0 // something is missing: ask for all
+			v.urgent = true
+			return
+		}
+		// Another run of the voter: what it said before it says anew.
+		*x = voter{life: m.Life, cells: map[string]*schema.Cell{}}
+	} else if m.Since > x.seq {
+		return // a return before this one was lost; the next look asks for it
+	}
+	x.heard, x.formed, x.standings, x.nodes = now, m.Formed, m.Standings, int(m.Nodes)
+	x.seq = max(x.seq, m.Seq)
+	for _, c := range m.Cells {
+		v.cell(x, c)
+	}
+	for _, r := range m.Instances {
+		v.instance(r)
+	}
+	if len(m.Voters) > 0 && !slices.Equal(m.Voters, v.voters) && m.Formed {
+		v.setVoters(m.Voters)
+	}
+	if m.Number > 0 {
+		v.returned(from, m.Number)
+	}
+}
+
+func (v *View) cell(x *voter, c *schema.Cell) {
+	if o := x.cells[c.Key]; o != nil {
+		if ballots.Less(c.Accepted, o.Accepted) {
+			return
+		}
+		if ballots.Same(c.Accepted, o.Accepted) && len(c.Value.GetData()) == 0 {
+			return
+		}
+	}
+	x.cells[c.Key] = c
+	if r := c.Value.GetRevision(); r > v.seen[c.Key] {
+		v.seen[c.Key] = r
+		v.changed[c.Key] = true
+	}
+	v.settle(c.Key)
+}
+
+// settle looks whether a majority of voters accepted one ballot of a key.
+func (v *View) settle(k string) {
+	for _, x := range v.vs {
+		c := x.cells[k]
+		if c == nil || c.Value.GetRevision() <= v.chosen[k].Revision {
+			continue
+		}
+		by := map[string][]*schema.Standing{}
+		var data []byte
+		for o, y := range v.vs {
+			if d := y.cells[k]; d != nil && y.formed && ballots.Same(d.Accepted, c.Accepted) {
+				by[o] = y.standings
+				if len(d.Value.GetData()) > 0 {
+					data = d.Value.GetData()
+				}
+			}
+		}
+		if len(ballots.Counted(by)) <= len(v.voters)/2 {
+			continue
+		}
+		if data == nil {
+			// Agreed, but nobody sent the body: ask another voter for it.
+			v.body++
+			v.again()
+			continue
+		}
+		v.chosen[k] = Chosen{Revision: c.Value.GetRevision(), Data: data}
+		v.changed[k] = true
+	}
+}
+
+// again has the next look bring everything.
+func (v *View) again() {
+	for _, x := range v.vs {
+		x.seq = 0
+	}
+	v.urgent = true
+}
+
+func (v *View) instance(r *schema.Record) {
+	if o := v.insts[r.Key]; o != nil && o.Stamp >= r.Stamp {
+		return
+	}
+	o := v.insts[r.Key]
+	v.insts[r.Key] = r
+	if o == nil || !slices.Equal(o.Data, r.Data) {
+		v.moved = true
+	}
+}
+
+// returned counts a return for the lease.
+func (v *View) returned(from string, n uint64) {
+	i := slices.IndexFunc(v.looks, func(l look) bool { return l.number == n })
+	if i < 0 {
+		return
+	}
+	v.looks[i].by[from] = true
+	by := map[string][]*schema.Standing{}
+	for o := range v.looks[i].by {
+		if x := v.vs[o]; x != nil && x.formed {
+			by[o] = x.standings
+		}
+	}
+	if len(ballots.Counted(by)) > len(v.voters)/2 {
+		v.leaseUntil = max(v.leaseUntil, v.looks[i].at+LeaseUs)
+		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
+	}
+}
+
+// Instances are the databases announced, in order of their identities; those
+// that are gone are left out.
+func (v *View) Instances() []ports.Instance {
+	var is []ports.Instance
+	for _, r := range v.insts {
+		if i := Instance(r); !i.Gone {
+			is = append(is, i)
+		}
+	}
+	slices.SortFunc(is, func(a, b ports.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return is
+}
+
+// Instance reads a database's record.
+func Instance(r *schema.Record) ports.Instance {
+	d := &schema.InstanceRecord{}
+	if proto.Unmarshal(r.Data, d) != nil {
+		return ports.Instance{ID: strings.TrimPrefix(r.Key, DatabasePrefix), Gone: true}
+	}
+	return ports.Instance{ID: strings.TrimPrefix(r.Key, DatabasePrefix), Group: d.Group, Address: d.Address, Zone: d.Zone, Capacity: int(d.Capacity),
+		Leaving: d.Leaving, Primary: d.Primary, WarmUs: d.WarmUs, Call: r.Stamp / 2, Gone: d.Gone}
+}
+
+// Record writes a database's record; one that is gone is newer than what it
+// last said.
+func Record(i ports.Instance) *schema.Record {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(&schema.InstanceRecord{Group: i.Group, Address: i.Address, Zone: i.Zone, Capacity: int32(i.Capacity),
+		Leaving: i.Leaving, Primary: i.Primary, WarmUs: i.WarmUs, Gone: i.Gone})
+	if err != nil {
+		panic(err)
+	}
+	s := i.Call * 2
+	if i.Gone {
+		s++
+	}
+	return &schema.Record{Key: DatabasePrefix + i.ID, Stamp: s, Data: b}
+}
+
+// Leadership reads a group's register.
+func Leadership(c Chosen) *schema.Leadership {
+	l := &schema.Leadership{}
+	if proto.Unmarshal(c.Data, l) != nil {
+		return &schema.Leadership{}
+	}
+	return l
+}
+
+// Leaderships are all that are agreed, by group.
+func (v *View) Leaderships() map[string]ports.Leadership {
+	m := map[string]ports.Leadership{}
+	for k, c := range v.chosen {
+		if g, ok := strings.CutPrefix(k, LeaderPrefix); ok {
+			l := Leadership(c)
+			m[g] = ports.Leadership{Revision: c.Revision, Term: l.Term, Primary: l.Primary, Address: l.Address, Phase: ports.Phase(l.Phase), ExpectUs: l.ExpectUs}
+		}
+	}
+	return m
+}
+
+// Never is a time that does not come.
+const Never = math.MaxInt64
