--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"stoneford/ballots"
 	"stoneford/ports"
 	"stoneford/records"
@@ -720,6 +722,9 @@
 // owner is the control process that carries a group's changes out: the first, by
 // the group's hash, of those heard lately.
 func (c *Core) owner(now int64, n string) bool {
+	if now-c.began < ownerSilent {
+		return false // the others had no time to be heard
+	}
 	for _, o := range step.Rank("change/"+n, c.view.Voters()) {
 		if o == c.self {
 			return !c.leaving
@@ -770,6 +775,14 @@
 			c.fx.Do = append(c.fx.Do, Promote{Group: n, Promote: e})
 		case switchover.Say:
 			c.say(e.Code, "%s", e.Text)
+		case switchover.PutMembers:
+			b, err := proto.MarshalOptions{Deterministic: true}.Marshal(&schema.Members{Ids: e.IDs})
+			if err != nil {
+				panic(err)
+			}
+			c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MembersPrefix + n, Base: e.Base, Data: b, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
+				g.decider.MembersDone()
+			})
 		case switchover.Put:
 			c.ask(now, ballots.Change{Name: c.name(), Key: k, Base: e.Base, Data: e.Data, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
 				g.decider.PutDone()
@@ -781,13 +794,23 @@
 
 // sum brings what databases and nodes said lately into a decider's input.
 func (c *Core) sum(now int64, n, k string, g *group, l *schema.Leadership, in *switchover.Input) {
-	in.Heard, in.Sights = map[string]int64{}, map[string]switchover.Sight{}
+	in.Heard, in.Gone, in.Sights = map[string]int64{}, map[string]bool{}, map[string]switchover.Sight{}
 	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
-		if i := voterview.Instance(r); i.Group == n && !i.Gone {
+		switch i := voterview.Instance(r); {
+		case i.Gone:
+			in.Gone[i.ID] = true
+		case i.Group == n:
 			in.Instances = append(in.Instances, i)
 			in.Heard[i.ID] = now - c.insts.AgeUs(now, r.Key)
 		}
 	})
+	in.Complete = now-c.began >= goneFactor*c.beatUs()
+	if v, ok := c.view.Agreed(voterview.MembersPrefix + n); ok {
+		m := &schema.Members{}
+		if proto.Unmarshal(v.Data, m) == nil {
+			in.Members, in.MembersRev = m.Ids, v.Revision
+		}
+	}
 	in.Quiet, in.Told = true, true
 	for _, f := range c.follow {
 		if f.kind != "pool" || now-f.at > followFor {
--- /dev/null
+++ b/fleetsimulation/faults.go
@@ -0,0 +1,748 @@
+package fleetsimulation
+
+import (
+	"slices"
+
+	"stoneford/sessiontable"
+)
+
+// Heal mends the network and brings every process back.
+func (f *Fleet) Heal() {
+	f.healed++
+	for _, k := range sortedCuts(f.net.cuts) {
+		for !f.net.reaches(k[0], k[1]) {
+			f.net.mend(k[0], k[1])
+		}
+	}
+	clear(f.net.lossy)
+	f.doubles, f.press = 0, 1
+	f.provider.bounce, f.provider.lose, f.provider.slowUs = 0, 0, 5_000
+	for _, c := range f.controls {
+		if !c.up {
+			f.startControl(c)
+		}
+		c.thaw()
+		c.slowUs, c.syncUs = 0, 0
+	}
+	for _, n := range f.nodes {
+		if !n.up {
+			f.startNode(n)
+		}
+		n.thaw()
+		n.slowUs = 0
+	}
+	for _, g := range f.groups {
+		for _, d := range g.dbs {
+			d.deaf, d.lag, d.lose, d.fail, d.slowUs = false, 1, 0, 0, 0
+			if !d.up && !d.ended {
+				d.start()
+			}
+		}
+	}
+}
+
+// fault is one kind of trouble. It ends by itself, at the latest when the fleet
+// is healed.
+type fault struct {
+	name string
+	do   func(f *Fleet) bool // false: it cannot come about now
+}
+
+// faults are all kinds. What has to be borne at once is one control process, and
+// of each group one database; any number of pool nodes.
+var faults = []fault{
+	{"node killed", func(f *Fleet) bool {
+		n := f.anyNode()
+		if n == nil {
+			return false
+		}
+		f.killNode(n, f.Chance(0.4))
+		f.later(300_000, 4_000_000, func() { f.backNode(n) })
+		return true
+	}},
+	{"nodes killed at once", func(f *Fleet) bool {
+		for _, n := range f.nodes {
+			if n.up && f.Chance(0.4) {
+				f.killNode(n, f.Chance(0.2))
+				f.later(300_000, 2_000_000, func() { f.backNode(n) })
+			}
+		}
+		return true
+	}},
+	{"node frozen", func(f *Fleet) bool {
+		n := f.anyNode()
+		if n == nil {
+			return false
+		}
+		n.freeze()
+		f.later(300_000, 5_000_000, n.thaw)
+		return true
+	}},
+	{"all nodes frozen for a moment", func(f *Fleet) bool {
+		for _, n := range f.nodes {
+			if n.up {
+				n.freeze()
+				f.later(200_000, 1_800_000, n.thaw)
+			}
+		}
+		return true
+	}},
+	{"node slow", func(f *Fleet) bool {
+		n := f.anyNode()
+		if n == nil {
+			return false
+		}
+		n.slowUs = f.Between(200, 4_000)
+		f.later(1_000_000, 6_000_000, func() { n.slowUs = 0 })
+		return true
+	}},
+	{"control killed", func(f *Fleet) bool {
+		c := f.anyControl()
+		if c == nil {
+			return false
+		}
+		f.killControl(c, f.Chance(0.5))
+		f.later(300_000, 5_000_000, func() { f.backControl(c) })
+		return true
+	}},
+	{"control's disk lost", func(f *Fleet) bool {
+		c := f.anyControl()
+		if c == nil {
+			return false
+		}
+		f.killControl(c, true)
+		c.disk = nil
+		f.later(300_000, 4_000_000, func() { f.backControl(c) })
+		return true
+	}},
+	{"control frozen", func(f *Fleet) bool {
+		c := f.anyControl()
+		if c == nil {
+			return false
+		}
+		c.freeze()
+		f.later(300_000, 5_000_000, c.thaw)
+		return true
+	}},
+	{"control slow", func(f *Fleet) bool {
+		c := f.anyControl()
+		if c == nil {
+			return false
+		}
+		c.slowUs, c.syncUs = f.Between(0, 8_000), f.Between(0, 300_000)
+		f.later(1_000_000, 5_000_000, func() { c.slowUs, c.syncUs = 0, 0 })
+		return true
+	}},
+	{"machine frozen", func(f *Fleet) bool {
+		c := f.anyControl()
+		if c == nil {
+			return false
+		}
+		us := f.Between(300_000, 5_000_000)
+		c.freeze()
+		f.After(us, c.thaw)
+		for _, n := range f.nodes {
+			if n.ip == c.ip && n.up {
+				n.freeze()
+				f.After(us, n.thaw)
+			}
+		}
+		return true
+	}},
+	{"machine cut off", func(f *Fleet) bool {
+		ip := f.nodes[f.R.IntN(len(f.nodes))].ip
+		if slices.ContainsFunc(f.controls, func(c *Control) bool { return c.ip == ip }) && f.anyControl() == nil {
+			return false
+		}
+		f.isolate(ip, f.hosts(), f.R.IntN(3), f.Between(300_000, 5_000_000))
+		return true
+	}},
+	{"zones cut", func(f *Fleet) bool {
+		if f.anyControl() == nil {
+			return false
+		}
+		z := zoneNames[f.R.IntN(3)]
+		how, us := f.R.IntN(3), f.Between(300_000, 4_000_000)
+		var in, out []string
+		for _, h := range f.hosts() {
+			if f.net.zones[h] == z {
+				in = append(in, h)
+			} else {
+				out = append(out, h)
+			}
+		}
+		for _, h := range in {
+			f.isolate(h, out, how, us)
+		}
+		return true
+	}},
+	{"core cut", func(f *Fleet) bool {
+		if f.anyControl() == nil {
+			return false
+		}
+		how, us := f.R.IntN(3), f.Between(300_000, 4_000_000)
+		if f.Chance(0.3) { // each from each
+			for _, c := range f.controls {
+				f.isolate(c.ip, f.controlHosts(), how, us)
+			}
+			return true
+		}
+		f.isolate(f.controls[f.R.IntN(3)].ip, f.controlHosts(), how, us)
+		return true
+	}},
+	{"primary cut from followers", func(f *Fleet) bool {
+		return f.cutPrimary(func(g *group) []string {
+			var hs []string
+			for _, d := range g.dbs {
+				if d != g.primary && f.Chance(0.7) {
+					hs = append(hs, d.ip)
+				}
+			}
+			return hs
+		})
+	}},
+	{"primary cut from the core", func(f *Fleet) bool {
+		return f.cutPrimary(func(*group) []string { return f.controlHosts() })
+	}},
+	{"primary cut from some nodes", func(f *Fleet) bool {
+		return f.cutPrimary(func(*group) []string {
+			var hs []string
+			for _, n := range f.nodes {
+				if f.Chance(0.5) {
+					hs = append(hs, n.ip)
+				}
+			}
+			return hs
+		})
+	}},
+	{"primary cut from all but one node", func(f *Fleet) bool {
+		return f.cutPrimary(func(*group) []string {
+			keep := f.nodes[f.R.IntN(len(f.nodes))].ip
+			return slices.DeleteFunc(f.hosts(), func(h string) bool { return h == keep })
+		})
+	}},
+	{"links lossy", func(f *Fleet) bool {
+		z := zoneNames[f.R.IntN(3)]
+		f.net.lossy[z] = 0.01 + f.R.Float64()*0.1
+		f.later(1_000_000, 5_000_000, func() { delete(f.net.lossy, z) })
+		return true
+	}},
+	{"envelopes late and twice", func(f *Fleet) bool {
+		f.doubles = 0.1
+		f.later(1_000_000, 5_000_000, func() { f.doubles = 0 })
+		return true
+	}},
+	{"primary crashes", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d := g.primary
+		d.crash(f.Chance(0.5))
+		f.later(300_000, 7_000_000, func() { f.backDB(d) })
+		return true
+	}},
+	{"primary crashes and is back at once", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d := g.primary
+		d.crash(f.Chance(0.3))
+		f.later(30_000, 1_200_000, func() { f.backDB(d) })
+		return true
+	}},
+	{"primary crashes and is back under another name", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d, same := g.primary, f.Chance(0.5)
+		d.crash(f.Chance(0.3))
+		f.later(100_000, 5_000_000, func() { f.rebirth(d, same) })
+		return true
+	}},
+	{"primary gone for good", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d := g.primary
+		d.crash(f.Chance(0.5))
+		f.later(1_000_000, 6_000_000, func() { f.replaceLost(d) })
+		return true
+	}},
+	{"release of the primary", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		f.release(g, []*DB{g.primary})
+		return true
+	}},
+	{"release of all", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		ds := slices.Clone(g.dbs)
+		f.R.Shuffle(len(ds), func(i, j int) { ds[i], ds[j] = ds[j], ds[i] })
+		f.release(g, ds)
+		return true
+	}},
+	{"follower crashes", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d := f.anyFollower(g)
+		d.crash(f.Chance(0.5))
+		switch f.R.IntN(4) {
+		case 0:
+			f.later(100_000, 5_000_000, func() { f.rebirth(d, f.Chance(0.5)) })
+		case 1:
+			f.later(1_000_000, 6_000_000, func() { f.replaceLost(d) })
+		default:
+			f.later(100_000, 5_000_000, func() { f.backDB(d) })
+		}
+		return true
+	}},
+	{"a follower deaf and the primary crashes", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		d, p := f.anyFollower(g), g.primary
+		d.deaf = true
+		f.later(100_000, 2_000_000, func() { p.crash(f.Chance(0.5)) })
+		f.later(2_500_000, 6_000_000, func() { d.deaf = false })
+		f.later(2_500_000, 7_000_000, func() { f.backDB(p) })
+		return true
+	}},
+	{"followers restart while the primary is lost", func(f *Fleet) bool {
+		g := f.anyGroup()
+		if g == nil {
+			return false
+		}
+		p := g.primary
+		if f.Chance(0.5) {
+			p.crash(f.Chance(0.5))
+			f.later(2_000_000, 6_000_000, func() { f.backDB(p) })
+		} else {
+			f.isolate(p.ip, f.controlHosts(), 0, f.Between(2_000_000, 5_000_000))
+			for _, n := range f.nodes {
+				if f.Chance(0.7) {
+					f.isolate(p.ip, []string{n.ip}, 0, f.Between(2_000_000, 5_000_000))
+				}
+			}
+		}
+		d := f.anyFollower(g)
+		f.later(200_000, 1_800_000, func() {
+			d.crash(false)
+			f.later(20_000, 300_000, func() { f.backDB(d) })
+		})
+		return true
+	}},
+	{"answers lost", func(f *Fleet) bool {
+		g := f.groups[f.R.IntN(len(f.groups))]
+		d := g.primary
+		if f.Chance(0.4) {
+			d = g.dbs[f.R.IntN(len(g.dbs))]
+		}
+		d.lose, d.loseHow = 0.02+f.R.Float64()*0.2, f.R.IntN(2)
+		f.later(1_000_000, 5_000_000, func() { d.lose = 0 })
+		return true
+	}},
+	{"statements fail", func(f *Fleet) bool {
+		g := f.groups[f.R.IntN(len(f.groups))]
+		d := g.dbs[f.R.IntN(len(g.dbs))]
+		d.fail = 0.3
+		f.later(1_000_000, 4_000_000, func() { d.fail = 0 })
+		return true
+	}},
+	{"burst", func(f *Fleet) bool {
+		f.press = 2 + 3*f.R.Float64()
+		f.later(1_000_000, 4_000_000, func() { f.press = 1 })
+		return true
+	}},
+	{"database slow", func(f *Fleet) bool {
+		g := f.groups[f.R.IntN(len(f.groups))]
+		d := g.dbs[f.R.IntN(len(g.dbs))]
+		d.slowUs = f.Between(5_000, 200_000)
+		f.later(1_000_000, 4_000_000, func() { d.slowUs = 0 })
+		return true
+	}},
+	{"followers lag", func(f *Fleet) bool {
+		g := f.groups[f.R.IntN(len(f.groups))]
+		for _, d := range g.dbs {
+			if f.Chance(0.6) {
+				d.lag = f.R.Float64() * 120
+				f.later(2_000_000, 6_000_000, func() { d.lag = 1 })
+			}
+		}
+		return true
+	}},
+	{"connections reset", func(f *Fleet) bool {
+		p := 0.2 + f.R.Float64()*0.8
+		for _, s := range f.streams {
+			if s.atNode && s.up && f.Chance(p) {
+				if s.c != nil && s.db.up && s.db.gen == s.dbGen {
+					s.c.drop()
+				}
+				s.lost(true, "reset")
+			}
+		}
+		for _, n := range f.nodes {
+			for _, id := range sortedKeys(n.sessions) {
+				if s := n.sessions[id]; f.Chance(p) {
+					n.enter(s.src(), func() {
+						if n.sessions[id] == s {
+							delete(n.sessions, id)
+							n.step(sessiontable.Left{Session: id})
+						}
+					})
+					f.After(toCallerUs, s.broke)
+				}
+			}
+		}
+		return true
+	}},
+	{"nodes stopped in turn", func(f *Fleet) bool {
+		at := int64(0)
+		for _, n := range f.nodes {
+			if !f.Chance(0.6) {
+				continue
+			}
+			f.After(at, func() {
+				f.stopNode(n)
+				gen := n.gen
+				var back func()
+				back = func() {
+					if !n.up && n.gen == gen {
+						f.backNode(n)
+					} else if n.gen == gen {
+						f.After(300_000, back)
+					}
+				}
+				f.After(500_000, back)
+			})
+			at += f.Between(300_000, 2_000_000)
+		}
+		return true
+	}},
+	{"controls stopped in turn", func(f *Fleet) bool {
+		if f.anyControl() == nil {
+			return false
+		}
+		at := int64(0)
+		for _, c := range f.controls {
+			f.After(at, func() {
+				f.stopControl(c)
+				f.After(700_000, func() { f.backControl(c) })
+			})
+			at += f.Between(2_000_000, 5_000_000)
+		}
+		return true
+	}},
+	{"operators", func(f *Fleet) bool { f.operators.act(); return true }},
+	{"operators, often", func(f *Fleet) bool {
+		for i := range int64(6) {
+			f.After(i*300_000, f.operators.act)
+		}
+		return true
+	}},
+	{"platform slow", func(f *Fleet) bool {
+		f.provider.slowUs = f.Between(100_000, 2_500_000)
+		f.later(1_000_000, 6_000_000, func() { f.provider.slowUs = 5_000 })
+		return true
+	}},
+	{"platform bounces", func(f *Fleet) bool {
+		f.provider.bounce, f.provider.lose = f.R.Float64(), f.R.Float64()*0.5
+		f.later(1_000_000, 5_000_000, func() { f.provider.bounce, f.provider.lose = 0, 0 })
+		return true
+	}},
+	{"all processes killed", func(f *Fleet) bool {
+		if f.anyControl() == nil || f.faultsOn["all processes killed"] > 0 {
+			return false
+		}
+		silent := f.Chance(0.5)
+		for _, c := range f.controls {
+			f.killControl(c, silent)
+			f.later(500_000, 1_500_000, func() { f.backControl(c) })
+		}
+		for _, n := range f.nodes {
+			f.killNode(n, silent)
+			f.later(500_000, 1_500_000, func() { f.backNode(n) })
+		}
+		return true
+	}},
+	{"all controls killed", func(f *Fleet) bool {
+		if f.anyControl() == nil {
+			return false
+		}
+		for _, c := range f.controls {
+			f.killControl(c, f.Chance(0.5))
+			f.later(300_000, 2_000_000, func() { f.backControl(c) })
+		}
+		return true
+	}},
+}
+
+func (f *Fleet) later(lo, hi int64, do func()) { f.After(f.Between(lo, hi), do) }
+
+func (f *Fleet) anyNode() *Node {
+	n := f.nodes[f.R.IntN(len(f.nodes))]
+	if !n.up || n.frozen || n.leaving || n.slowUs > 0 {
+		return nil
+	}
+	return n
+}
+
+func (f *Fleet) backNode(n *Node) {
+	if !n.up {
+		f.startNode(n)
+	}
+}
+
+// anyControl is a control process that may be lost: all are well, and have been
+// for a while.
+func (f *Fleet) anyControl() *Control {
+	for _, c := range f.controls {
+		if !c.plain() || f.Now-c.troubleAt < contactUs && f.Now > 6_000_000 {
+			return nil
+		}
+	}
+	return f.controls[f.R.IntN(3)]
+}
+
+func (f *Fleet) backControl(c *Control) {
+	if !c.up {
+		f.startControl(c)
+	}
+}
+
+// anyGroup is one that may lose a database.
+func (f *Fleet) anyGroup() *group {
+	g := f.groups[f.R.IntN(len(f.groups))]
+	p := g.primary
+	if len(g.dbs) < 3 || p == nil || !p.up || p.leaving {
+		return nil
+	}
+	for _, d := range g.dbs {
+		if !d.up || d.deaf || d.leaving || d.held > 0 || d.term != p.term || d != p && (d.primary || len(p.log)-len(d.log) > 30) || f.net.troubled(d.ip) {
+			return nil
+		}
+	}
+	return g
+}
+
+func (f *Fleet) anyFollower(g *group) *DB {
+	for {
+		if d := g.dbs[f.R.IntN(len(g.dbs))]; d != g.primary {
+			return d
+		}
+	}
+}
+
+func (f *Fleet) backDB(d *DB) {
+	if !d.up && !d.ended {
+		d.start()
+		f.say("%s is back at %v", d.id, d.at(len(d.log)))
+	}
+}
+
+// rebirth has a database come back with its log under another identity, at its
+// address or another.
+func (f *Fleet) rebirth(d *DB, same bool) {
+	if d.up || d.ended {
+		return
+	}
+	n := f.addDB(d.group, d.zone)
+	if same {
+		n.addr, n.ip = d.addr, d.ip
+	}
+	n.log, n.term, n.primary = d.log, d.term, d.primary && d.group.terms == d.term
+	d.ended, d.silent = true, false
+	if f.dbAt[d.addr] == d {
+		delete(f.dbAt, d.addr)
+	}
+	d.group.dbs = slices.DeleteFunc(d.group.dbs, func(o *DB) bool { return o == d })
+	if n.primary {
+		d.group.primary = n
+	}
+	f.say("%s is back as %s at %v", d.id, n.id, n.at(len(n.log)))
+	n.start()
+}
+
+// replaceLost has an empty database come for one that is gone for good.
+func (f *Fleet) replaceLost(d *DB) {
+	if d.up || d.ended {
+		return
+	}
+	f.remove(d)
+	n := f.addDB(d.group, d.zone)
+	n.start()
+}
+
+// release replaces databases one after the other.
+func (f *Fleet) release(g *group, ds []*DB) {
+	f.releasing++
+	f.releaseNext(g, ds)
+}
+
+func (f *Fleet) releaseNext(g *group, ds []*DB) {
+	if len(ds) == 0 {
+		f.releasing--
+		return
+	}
+	d := ds[0]
+	next := func() { f.later(300_000, 1_500_000, func() { f.releaseNext(g, ds[1:]) }) }
+	if !d.up || d.ended || d.leaving {
+		next()
+		return
+	}
+	atIts := f.Chance(0.4) // the new one takes its address and log
+	var n *DB
+	if !atIts {
+		n = f.addDB(g, d.zone)
+		n.start()
+	}
+	f.later(1_000_000, 2_500_000, func() {
+		if !d.up {
+			next()
+			return
+		}
+		f.say("%s leaves", d.id)
+		d.leaving = true
+		d.announce()
+		began := f.Now
+		var look func()
+		look = func() {
+			switch {
+			case d.ended || !d.up:
+				next()
+			case d.ackedUs > 0 && f.Now-d.ackedUs > drainUs+400_000 || d.ackedUs == 0 && f.Now-began > 6_000_000:
+				d.endForGood()
+				f.After(900_000, func() {
+					if atIts && d.ended {
+						o := f.addDB(g, d.zone)
+						o.addr, o.ip = d.addr, d.ip
+						o.log, o.term = d.log, d.term
+						o.primary = d.primary && g.terms == d.term
+						if o.primary {
+							g.primary = o
+						}
+						o.start()
+					}
+					next()
+				})
+			default:
+				f.After(100_000, look)
+			}
+		}
+		f.After(100_000, look)
+	})
+}
+
+func (f *Fleet) controlHosts() []string {
+	var hs []string
+	for _, c := range f.controls {
+		hs = append(hs, c.ip)
+	}
+	return hs
+}
+
+// hosts are all but callers.
+func (f *Fleet) hosts() []string {
+	var hs []string
+	for _, n := range f.nodes {
+		hs = append(hs, n.ip)
+	}
+	for _, c := range f.controls {
+		if !slices.Contains(hs, c.ip) {
+			hs = append(hs, c.ip)
+		}
+	}
+	for _, g := range f.groups {
+		for _, d := range g.dbs {
+			if !slices.Contains(hs, d.ip) {
+				hs = append(hs, d.ip)
+			}
+		}
+	}
+	return append(hs, providerHost, "operators")
+}
+
+// isolate cuts a host off from others for a while: 0 both ways, 1 from it, 2 to
+// it.
+func (f *Fleet) isolate(host string, others []string, how int, us int64) {
+	others = slices.Clone(others)
+	for _, o := range others {
+		if how != 2 {
+			f.net.cut(host, o)
+		}
+		if how != 1 {
+			f.net.cut(o, host)
+		}
+	}
+	healed := f.healed
+	f.After(us, func() {
+		if f.healed != healed {
+			return
+		}
+		for _, o := range others {
+			if how != 2 {
+				f.net.mend(host, o)
+			}
+			if how != 1 {
+				f.net.mend(o, host)
+			}
+		}
+	})
+}
+
+func (f *Fleet) cutPrimary(from func(g *group) []string) bool {
+	g := f.anyGroup()
+	if g == nil {
+		return false
+	}
+	f.isolate(g.primary.ip, from(g), f.R.IntN(3), f.Between(300_000, 5_000_000))
+	return true
+}
+
+// bring has one kind of fault come about, if it can.
+func (f *Fleet) bring(k fault) bool {
+	at := len(f.Says)
+	f.say("FAULT %s", k.name)
+	if !k.do(f) {
+		f.Says = f.Says[:min(at, len(f.Says))]
+		return false
+	}
+	f.faultsOn[k.name]++
+	return true
+}
+
+// RandomFaults brings faults about until a time, one every mean or so. Of names
+// only those are brought, if there are any.
+func (f *Fleet) RandomFaults(until, mean int64, names ...string) {
+	ks := faults
+	if len(names) > 0 {
+		ks = slices.DeleteFunc(slices.Clone(faults), func(k fault) bool { return !slices.Contains(names, k.name) })
+		if len(ks) != len(names) {
+			panic("no such fault")
+		}
+	}
+	var next func()
+	next = func() {
+		if f.Now >= until {
+			return
+		}
+		for range 5 {
+			if f.bring(ks[f.R.IntN(len(ks))]) {
+				break
+			}
+		}
+		f.later(mean/2, mean*3/2, next)
+	}
+	f.later(0, mean, next)
+}
--- /dev/null
+++ b/fleetsimulation/fleet_test.go
@@ -0,0 +1,89 @@
+package fleetsimulation
+
+import (
+	"flag"
+	"strings"
+	"sync"
+	"testing"
+)
+
+var (
+	seeds = flag.Uint64("seeds", 0, "how many seeds of the whole fleet to run (default: CI's)")
+	from  = flag.Uint64("from", 0, "first seed")
+	tell  = flag.Bool("tell", false, "print what happened in each seed")
+)
+
+func plan(seed uint64) Plan {
+	return Plan{Seed: seed, Nodes: 4 + int(seed%8), Groups: 2 + int(seed%2), Callers: 36, EveryUs: 150_000, Conflicts: 0.002, Spread: 0.04}
+}
+
+// told fails the test with what broke, and prints the run if that is wanted.
+func told(t *testing.T, f *Fleet) {
+	t.Helper()
+	if len(f.Violations()) > 0 {
+		t.Errorf("seed %d:\n%s", f.Plan.Seed, strings.Join(f.Violations(), "\n"))
+	}
+	if *tell {
+		t.Logf("seed %d:\n%s", f.Plan.Seed, strings.Join(f.Says, "\n"))
+	}
+}
+
+// TestQuietFleet: without faults everything is served.
+func TestQuietFleet(t *testing.T) {
+	f := NewFleet(plan(1))
+	f.Run(4_000_000)
+	f.startCallers()
+	f.Run(f.Now + 5_000_000)
+	f.Finish()
+	told(t, f)
+	t.Logf("%d operations, %d well; %d calm, %d well; acked %d, reads %d, codes %v, connects %d", f.ops, f.okOps, f.calmOps, f.calmOK, f.truth.Acked, f.truth.Reads, f.truth.Codes, f.truth.connects)
+}
+
+// faulty runs one seed under faults of the kinds named, or of any.
+func faulty(p Plan, mean int64, names ...string) *Fleet {
+	f := NewFleet(p)
+	f.Run(4_000_000)
+	f.startCallers()
+	f.Run(f.Now + 1_000_000)
+	f.RandomFaults(f.Now+18_000_000, mean, names...)
+	f.Run(f.Now + 19_000_000)
+	f.Finish()
+	return f
+}
+
+// each runs seeds on a few threads; every seed is its own world.
+func each(n, first uint64, do func(seed uint64)) {
+	var wg sync.WaitGroup
+	ch := make(chan uint64)
+	for range 6 {
+		wg.Go(func() {
+			for s := range ch {
+				do(s)
+			}
+		})
+	}
+	for s := first; s < first+n; s++ {
+		ch <- s
+	}
+	close(ch)
+	wg.Wait()
+}
+
+// TestFleetUnderFaults: nothing that must never happen happens, whatever faults
+// the seeds bring about within what has to be borne.
+func TestFleetUnderFaults(t *testing.T) {
+	n := uint64(60)
+	if *seeds > 0 {
+		n = *seeds
+	}
+	var mu sync.Mutex
+	ops, ok, acked, promotions := 0, 0, 0, 0
+	each(n, *from, func(seed uint64) {
+		f := faulty(plan(seed), 1_800_000)
+		mu.Lock()
+		defer mu.Unlock()
+		ops, ok, acked, promotions = ops+f.ops, ok+f.okOps, acked+f.truth.Acked, promotions+f.truth.Promotions
+		told(t, f)
+	})
+	t.Logf("%d seeds: %d operations, %.4f served, %d writes acknowledged, %d promotions", n, ops, float64(ok)/float64(max(ops, 1)), acked, promotions)
+}
--- a/sessiontable/ends.go
+++ b/sessiontable/ends.go
@@ -205,7 +205,7 @@
 		n = t.o.GuessedSlots
 	}
 	if in.running+1 >= int(in.slots) {
-		in.slots = min(in.slots+0.25/max(in.slots, 1), float64(2*n))
+		in.slots = min(in.slots+0.25/max(in.slots, 1), float64(max(2, n)))
 	}
 }
 
@@ -351,13 +351,13 @@
 // not taken.
 func (t *Table) beginFailed(c *conn, a *ask, bad, an ports.Answer) {
 	x := a.tx
-	if an.Code == ports.Done || !an.Code.NotRun() && an.Code != ports.Malformed || an.State == ports.Open {
+	if an.Code == ports.Done || !an.Code.NotRun() && an.Code != ports.Malformed && an.Code != ports.RolledBack || an.State == ports.Open {
 		// The statement ran all the same, outside its transaction.
 		c.doubt = true
 		in := c.in
 		t.part(c)
 		x.begun, x.over = false, false
-		if a.write || a.commit {
+		if a.write {
 			t.end(a, ports.Reply{Code: ports.InDoubt, Text: "the database ran it outside the transaction"})
 			return
 		}
--- a/sessiontable/table.go
+++ b/sessiontable/table.go
@@ -61,7 +61,7 @@
 	def(&o.OtherUs, 25_000)
 	def(&o.CrossUs, 2_000)
 	def(&o.PrimaryUs, 10_000)
-	def(&o.ReadyUs, 3_000_000)
+	def(&o.ReadyUs, 3*o.LeaseUs)
 	def(&o.RestUs, 200_000)
 	def(&o.NotedUs, 2_000_000)
 	num := func(p *int, v int) {
@@ -217,9 +217,8 @@
 
 // settle goes through the lines that something changed for.
 func (t *Table) settle() {
-	for len(t.dirty) > 0 {
-		in := t.dirty[0]
-		t.dirty = t.dirty[1:]
+	for i := 0; i < len(t.dirty); i++ {
+		in := t.dirty[i]
 		in.dirty = false
 		t.dispatch(in)
 	}
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -28,21 +28,25 @@
 
 // Input is what a step is told beside the time.
 type Input struct {
-	Group     string
-	Sync      int
-	State     *schema.Leadership
-	Rev       uint64
-	Settled   bool // State is the newest that any voter holds
-	Acts      bool // this process carries the group's changes out
-	Self      string
-	Instances []ports.Instance // of this group, none that is gone
-	Heard     map[string]int64 // when each last announced itself here
-	Sights    map[string]Sight
-	Nodes     int  // pool nodes that looked lately
-	Quiet     bool // all of them say that nothing is under way at the primary
-	Told      bool // all of them know of the newest revision
-	Cleared   bool // no node relies on an older revision any more
-	Acked     ports.Position
+	Group      string
+	Sync       int
+	State      *schema.Leadership
+	Rev        uint64
+	Settled    bool // State is the newest that any voter holds
+	Acts       bool // this process carries the group's changes out
+	Self       string
+	Instances  []ports.Instance // of this group, none that is gone
+	Gone       map[string]bool  // those that said or are taken to be gone
+	Complete   bool             // whoever is neither here nor gone is gone too
+	Members    []string         // agreed: whose word counts
+	MembersRev uint64
+	Heard      map[string]int64 // when each last announced itself here
+	Sights     map[string]Sight
+	Nodes      int  // pool nodes that looked lately
+	Quiet      bool // all of them say that nothing is under way at the primary
+	Told       bool // all of them know of the newest revision
+	Cleared    bool // no node relies on an older revision any more
+	Acked      ports.Position
 }
 
 // Effects.
@@ -60,6 +64,11 @@
 		Base uint64
 		Data []byte
 	}
+	// PutMembers asks for a new revision of the members' register.
+	PutMembers struct {
+		Base uint64
+		IDs  []string
+	}
 	// Promote asks the platform to have a database lead.
 	Promote struct {
 		ID    string
@@ -134,14 +143,18 @@
 	tidied  map[string]bool
 	plan    int64
 	leaving map[string]int64
-	begun   int64 // when the change under way was first seen here
+	begun   int64                     // when the change under way was first seen here
+	parted  map[string]int64          // members that are gone, and since when
+	most    map[string]ports.Position // what the primary held after that
+	joining int64
 	due     int64
 	fx      []any
 }
 
 // New makes a group's decider.
 func New() *Group {
-	return &Group{m: map[string]*seen{}, qs: map[uint64]question{}, tidied: map[string]bool{}, leaving: map[string]int64{}}
+	return &Group{m: map[string]*seen{}, qs: map[uint64]question{}, tidied: map[string]bool{}, leaving: map[string]int64{},
+		parted: map[string]int64{}, most: map[string]ports.Position{}}
 }
 
 // Due is when Step has something to do next even if nothing happens.
@@ -149,6 +162,9 @@
 
 func (g *Group) wake(at int64) { g.due = min(g.due, at) }
 
+// MembersDone tells that a PutMembers has ended, however.
+func (g *Group) MembersDone() { g.joining = 0 }
+
 // PutDone tells that a Put has ended, however.
 func (g *Group) PutDone() { g.putting = 0 }
 
@@ -258,7 +274,7 @@
 			g.leaving[i.ID] = now
 		}
 	}
-	gone := func(id string) bool { _, ok := find(in, id); return !ok }
+	gone := func(id string) bool { _, ok := find(in, id); return !ok && id != in.State.GetPrimary() }
 	maps.DeleteFunc(g.m, func(id string, _ *seen) bool { return gone(id) })
 	maps.DeleteFunc(g.leaving, func(id string, _ int64) bool { return gone(id) })
 	if g.putting > 0 && now-g.putting < 4_000_000 {
@@ -288,6 +304,12 @@
 	return g.fx
 }
 
+// left says that a database is surely no longer there.
+func (in Input) left(id string) bool {
+	_, here := find(in, id)
+	return !here && (in.Gone[id] || in.Complete)
+}
+
 func find(in Input, id string) (ports.Instance, bool) {
 	i := slices.IndexFunc(in.Instances, func(i ports.Instance) bool { return i.ID == id })
 	if i < 0 {
@@ -318,17 +340,25 @@
 	if g.adopt(now, in, ok) {
 		return
 	}
-	if !ok {
+	if !ok && in.left(st.Primary) {
 		if why := g.lost(now, in); why != "" {
 			g.seal(now, in, why)
 		}
 		return
 	}
+	if !ok {
+		// This process has merely not heard of it yet.
+		p = ports.Instance{ID: st.Primary, Group: in.Group, Address: st.Address, Primary: true}
+		if g.m[p.ID] == nil {
+			g.m[p.ID] = &seen{}
+		}
+	}
 	if why := g.suspect(now, in, p); why != "" {
 		g.seal(now, in, why)
 		return
 	}
 	g.tidy(now, in)
+	g.members(now, in, p)
 	if p.Leaving {
 		g.leave(now, in, p)
 	}
@@ -441,12 +471,6 @@
 func (g *Group) seal(now int64, in Input, why string) {
 	n := next(in, ports.PhaseSealing, why)
 	n.Old, n.SealRev, n.Asked = in.State.Primary, in.Rev+1, false
-	n.Followers = nil
-	for _, i := range in.Instances {
-		if i.ID != in.State.Primary {
-			n.Followers = append(n.Followers, i.ID)
-		}
-	}
 	if ports.Phase(in.State.Phase) == ports.PhaseOpen {
 		g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, in.State.Term, why)
 	}
@@ -483,6 +507,12 @@
 		missing = append(missing, i)
 		g.ask(now, i, ports.Hold, t, holdEvery)
 	}
+	for _, id := range in.Members {
+		if _, here := find(in, id); !here && id != in.State.Old {
+			// Gone or not, what it received is not known to be held by others.
+			missing = append(missing, ports.Instance{ID: id})
+		}
+	}
 	return held, missing
 }
 
@@ -570,7 +600,7 @@
 		return false
 	}
 	for _, i := range missing {
-		if s := g.m[i.ID]; s.err == 0 || now-s.err < silentAfter {
+		if s := g.m[i.ID]; s == nil && !in.left(i.ID) || s != nil && (s.err == 0 || now-s.err < silentAfter) {
 			g.wake(now + holdEvery)
 			return false
 		}
@@ -622,7 +652,8 @@
 			return
 		}
 		for _, i := range missing {
-			if g.m[i.ID].err == 0 || now-g.m[i.ID].err < goneGrace {
+			if s := g.m[i.ID]; s == nil && !in.left(i.ID) || s != nil && (s.err == 0 || now-s.err < goneGrace) {
+				g.wake(now + holdEvery)
 				return
 			}
 		}
@@ -678,3 +709,63 @@
 		g.ask(now, i, ports.Resume, 0, tidyEvery)
 	}
 }
+
+// members keeps the agreed members: whoever is announced joins at once; one that
+// is gone is left out once the others hold all that the primary held after it
+// went, so that nothing acknowledged rests on it alone.
+func (g *Group) members(now int64, in Input, p ports.Instance) {
+	if g.joining > 0 && now-g.joining < 4_000_000 {
+		return
+	}
+	var ids []string
+	for _, i := range in.Instances {
+		ids = append(ids, i.ID)
+	}
+	for _, id := range in.Members {
+		if _, here := find(in, id); here {
+			delete(g.parted, id)
+			delete(g.most, id)
+			continue
+		}
+		if !g.covered(now, in, p, id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	if slices.Equal(ids, in.Members) {
+		return
+	}
+	g.joining = now
+	g.fx = append(g.fx, PutMembers{Base: in.MembersRev, IDs: ids})
+}
+
+// covered says whether all the other members hold what the primary held after a
+// member was seen to be gone.
+func (g *Group) covered(now int64, in Input, p ports.Instance, id string) bool {
+	if !in.left(id) {
+		return false
+	}
+	if g.parted[id] == 0 {
+		g.parted[id] = now
+	}
+	if !g.most[id].Known() {
+		if s := g.m[p.ID]; s.known && s.err == 0 && s.at > g.parted[id] && s.status.Primary {
+			g.most[id] = s.status.Received
+		} else {
+			g.ask(now, p, ports.Status, 0, planEvery)
+			return false
+		}
+	}
+	others := 0
+	for _, i := range in.Instances {
+		if i.ID == p.ID {
+			continue
+		}
+		if s := g.m[i.ID]; !s.known || s.err > 0 || s.at <= g.parted[id] || s.status.Received.Before(g.most[id]) {
+			g.ask(now, i, ports.Status, 0, planEvery)
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -23,6 +23,7 @@
 const (
 	TableKey       = "routes"
 	LeaderPrefix   = "leader/"
+	MembersPrefix  = "members/"
 	DatabasePrefix = "database/"
 )
 
