Links end soon behind a cut; a node without a lease does not call itself ready

Their connections to the voters lived on in the kernel, which tried again ever less often. Meanwhile they called themselves ready for 3 s past their lease, and callers kept coming.

Ruled out: the lease itself (other nodes renewed theirs in 0.55 s), the voters.

Change: TCP_USER_TIMEOUT of 0.9 s on links, readiness 0.4 s past the lease, and bounces are logged once a second by cause (517).

--- a/links/links.go
+++ b/links/links.go
@@ -9,8 +9,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -24,6 +26,7 @@
 	dialAgain   = 100 * time.Millisecond
 	idleOut     = 30 * time.Second
 	stuckWrites = 3 * time.Second
+	unheard     = 900 * time.Millisecond
 )
 
 // Links is one process's end of all its links.
@@ -99,7 +102,7 @@
 // connected sends over one connection until it breaks; true says that it was
 // merely idle.
 func (l *Links) connected(to string, ch chan *schema.Envelope) bool {
-	d := net.Dialer{Timeout: dialTime, LocalAddr: l.local}
+	d := net.Dialer{Timeout: dialTime, LocalAddr: l.local, Control: giveUpSoon}
 	nc, err := d.DialContext(l.ctx, "tcp", to)
 	if err != nil {
 		return false
@@ -132,6 +135,18 @@
 	}
 }
 
+// giveUpSoon has the kernel end a connection whose bytes nobody confirms: behind
+// a cut it would else try again ever less often, and long after the cut is over.
+func giveUpSoon(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unheard.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
 // expiring gives up on a neighbour that takes no bytes: its kernel may hold
 // the connection open long after its process stopped.
 type expiring struct{ net.Conn }
--- a/result/result.go
+++ b/result/result.go
@@ -77,6 +77,7 @@
 	BookingMoved         Code = 514
 	MemberAside          Code = 515
 	InstanceSaid         Code = 516
+	StatementsBounced    Code = 517
 )
 
 // Row is one code's line in the table.
@@ -146,6 +147,8 @@
 	{LogDamaged, 0, "the voter's log is damaged; it was set aside and the voter joins anew", "look at the disk; remove the log that was set aside"},
 	{BookingMoved, 0, "a booking went on to its next state", "nothing"},
 	{MemberAside, 0, "a copy that is to be replaced was set aside; nothing acknowledged rests on it", "nothing"},
+	{InstanceSaid, 0, "a database said something new of itself, or is taken as gone", "nothing"},
+	{StatementsBounced, 0, "this node bounced statements that no database could take; said once a second at the most", "look for a change of primary, a cut or a crowd at that moment"},
 }
 
 var rows = func() map[Code]Row {
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -1,6 +1,7 @@
 package sessionpool
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -25,6 +26,10 @@
 	began   int64
 }
 
+// readyUs is how long after its lease a node still calls itself ready: cut off
+// from the voters it can serve no current read, while others can.
+const readyUs = 400_000
+
 // Effects of one step.
 type Effects struct {
 	Send []step.Send
@@ -33,6 +38,7 @@
 
 // NewCore makes a node; run must be greater than any earlier run's.
 func NewCore(b ports.Boot, run, seed uint64, o sessiontable.Options) *Core {
+	o.ReadyUs = cmp.Or(o.ReadyUs, readyUs)
 	return &Core{Table: sessiontable.New(seed, b.Zone, o), view: voterview.New(b.PoolNode(), b.SeedVoters(), b.Zone, b.Name, "pool", run)}
 }
 
--- a/sessiontable/ends.go
+++ b/sessiontable/ends.go
@@ -193,6 +193,7 @@
 	if a != nil {
 		i := a.runIndex()
 		us := max(t.now-sent, 1)
+		in.ranUs[i] = t.now
 		if in.run[i] == 0 {
 			in.run[i] = us
 		} else {
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -52,9 +52,10 @@
 	spread  bool // the reads in its line were placed anew since
 	wake    timer
 
-	pos ports.Position // newest its answers named
-	run [6]int64       // average by class kind and whether it writes, 0 unknown
-	lag int64
+	pos   ports.Position // newest its answers named
+	run   [6]int64       // average by class kind and whether it writes, 0 unknown
+	ranUs [6]int64       // when the average was last fed
+	lag   int64
 }
 
 func (in *instance) dirtyIn(t *Table) {
@@ -273,7 +274,9 @@
 	case g.since == 0:
 		g.since = t.now
 	}
-	if g.has && !g.view.Doubt {
+	// A lease that shows the sealing says nothing of how long the old primary is
+	// the only one.
+	if p := g.view.Phase; g.has && !g.view.Doubt && (p == ports.PhaseOpen || p == ports.PhaseClosing) {
 		g.sure = max(g.sure, e.LeaseUntil)
 	}
 }
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -1,11 +1,13 @@
 package sessiontable
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 
 	"stoneford/freshness"
 	"stoneford/ports"
+	"stoneford/result"
 )
 
 // runIndex is the average that an ask counts in.
@@ -18,13 +20,14 @@
 }
 
 func (t *Table) runOf(in *instance, i int) int64 {
-	switch {
-	case in.run[i] > 0:
-		return in.run[i]
-	case in.Zone == t.zone:
-		return t.o.SameUs
+	us := t.o.OtherUs
+	if in.Zone == t.zone {
+		us = t.o.SameUs
 	}
-	return t.o.OtherUs
+	if in.run[i] == 0 || t.now > in.ranUs[i]+t.o.ForgetUs && in.run[i] > us {
+		return us // unknown, or so long ago that it is worth a try
+	}
+	return in.run[i]
 }
 
 // unplace takes an ask out of the line it waits in.
@@ -47,6 +50,9 @@
 
 // place finds where an ask is to run (design 14.8, 14.10).
 func (t *Table) place(a *ask) {
+	if a.tries != a.backTry {
+		a.backTry, a.backUs = a.tries, t.now
+	}
 	if a.goesOn() {
 		t.join(a, a.tx.conn.in)
 		return
@@ -205,7 +211,7 @@
 func (t *Table) limit(a *ask) int64 {
 	quarter := a.atUs + min(a.aimUs/4, t.o.WaitUs)
 	if a.tries > 0 {
-		quarter = max(quarter, a.sentUs+t.o.WaitUs/2)
+		quarter = max(quarter, a.backUs+t.o.WaitUs)
 	}
 	l := quarter
 	if in := a.in; in != nil && in.failing == 0 && len(in.conns) > in.opening {
@@ -226,6 +232,7 @@
 		return
 	}
 	t.counts.Held++
+	t.bouncedFor(a)
 	us := a.hint
 	if since, ok := t.changing(a.g); ok {
 		us = max(us, t.changeEnds(a.g, since)-t.now)
@@ -251,3 +258,35 @@
 	}
 	t.bounce(a)
 }
+
+// bouncedFor counts why nodes' own bounces come about, and says it once a second.
+func (t *Table) bouncedFor(a *ask) {
+	why := "its line is too long"
+	switch p := t.primary(a.g); {
+	case a.hint > 0:
+	case p == nil && a.g.denied(t):
+		why = "the primary says that it is none"
+	case p == nil && a.g.has && a.g.view.Phase == ports.PhaseOpen:
+		why = "the primary is not announced"
+	case p == nil:
+		why = "the primary is being changed"
+	case p.failing > 0:
+		why = "the primary cannot be used"
+	case t.now < p.backoff:
+		why = "the primary takes no more connections"
+	case a.reads() && a.g.sure <= a.from(t.o.MarginUs):
+		why = "no lease"
+	}
+	if t.held == nil {
+		t.held = map[string]int{}
+	}
+	t.held[a.g.name+": "+why]++
+	if t.now < t.heldUs+1_000_000 {
+		return
+	}
+	t.heldUs = t.now
+	for _, k := range slices.Sorted(maps.Keys(t.held)) {
+		t.emit(Say{Code: result.StatementsBounced, Text: strconv.Itoa(t.held[k]) + " for " + k})
+	}
+	clear(t.held)
+}
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -141,6 +141,8 @@
 	need    ports.Position
 	later   bool // waits for its copy to catch up
 	tries   int
+	backTry int   // the try that it was last placed anew after
+	backUs  int64 // and when
 	tried   []string
 	bounced *ports.Answer // the newest that says it was not run
 	hint    int64         // when to come back, of the newest estimate
--- a/sessiontable/table.go
+++ b/sessiontable/table.go
@@ -31,6 +31,7 @@
 	OtherUs      int64 // and elsewhere
 	CrossUs      int64 // what a crossing between zones counts beyond its time
 	PrimaryUs    int64 // what a read that a follower could take counts at the primary
+	ForgetUs     int64 // a run time not fed for so long counts no more if it was long
 	ReadyUs      int64 // the node calls itself ready so long after its lease ran out
 	RestUs       int64 // a transaction may rest so much longer than its limit
 	NotedUs      int64 // a primary that said it is none is left alone so long, or until the next view
@@ -62,6 +63,7 @@
 	def(&o.CrossUs, 2_000)
 	def(&o.PrimaryUs, 10_000)
 	def(&o.ReadyUs, 3*o.LeaseUs)
+	def(&o.ForgetUs, 5_000_000)
 	def(&o.RestUs, 200_000)
 	def(&o.NotedUs, 2_000_000)
 	num := func(p *int, v int) {
@@ -130,6 +132,9 @@
 	counts  Counts
 	copies  []freshness.Copy // scratch
 
+	held   map[string]int // bounces since heldUs, by cause
+	heldUs int64
+
 	stopping bool
 	stopUs   int64
 	graceUs  int64
