Looks tell only what is new; groups are gone through only when something of them changed

Change: a look leaves out words that the voter returned, a return leaves out standings that did not change, decoded records are kept by group, and a group's turn comes when something of it changed or is due. A group whose follower is missing waits until every node says that nothing is under way that it may yet acknowledge.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -106,6 +106,7 @@
 	goneFactor    = 6 // announcements missed until a database counts as gone
 	forgetGone    = 120_000_000
 	defaultBeatUs = 1_200_000
+	allEvery      = 250_000 // groups of which nothing was heard are gone through
 )
 
 type follower struct {
@@ -126,10 +127,11 @@
 	sealed  uint64 // revision of the newest sealing accepted here
 	at      int64  // when
 	before  map[string]bool
-	cleared uint64 // newest sealing that no node that looked here goes against
-	told    uint64 // newest cleared that the others were told
-	putting bool
-	doubtAt int64
+	cleared uint64                    // newest sealing that no node that looked here goes against
+	told    uint64                    // newest cleared that the others were told
+	insts   map[string]ports.Instance // announced, and those that are gone
+	order   []string                  // control processes, first the one that carries changes out
+	dirty   bool
 }
 
 type ack struct {
@@ -167,8 +169,12 @@
 	lastStep int64
 	nextCmp  int64
 	nextGone int64
+	nextAll  int64
 	turn     int
 	changed  bool // something that nodes are to be told
+	stood    []*schema.Standing
+	stoodSeq uint64
+	rostered bool
 	due      int64
 	own      []*schema.Envelope
 	fx       Effects
@@ -277,12 +283,12 @@
 	case Said:
 		if g := c.groups[e.Group]; g != nil {
 			g.decider.Said(now, e.Said)
-			c.groupTick(now, e.Group, g)
+			g.dirty = true
 		}
 	case Promoted:
 		if g := c.groups[e.Group]; g != nil {
 			g.decider.Promoted(now, e.OK, e.Gone)
-			c.groupTick(now, e.Group, g)
+			g.dirty = true
 		}
 	case Stop:
 		c.leaving = true
@@ -391,7 +397,7 @@
 func (c *Core) group(n string) *group {
 	g := c.groups[n]
 	if g == nil {
-		g = &group{decider: switchover.New()}
+		g = &group{decider: switchover.New(), insts: map[string]ports.Instance{}}
 		c.groups[n] = g
 	}
 	return g
@@ -427,25 +433,37 @@
 	if m.Life != c.run {
 		since = 0
 	}
-	news := len(f.sights) != len(m.Sightings) || f.leaving != m.Leaving
+	for _, ss := range [][]*schema.Sighting{f.sights, m.Sightings} {
+		for _, s := range ss {
+			if r := c.insts.Get(voterview.DatabasePrefix + s.Id); r != nil {
+				c.group(voterview.Instance(r).Group).dirty = true
+			}
+		}
+	}
 	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
 	for _, w := range m.Groups {
-		o := f.words[w.Group]
-		news = news || o.GetRevision() != w.Revision || o.GetQuiet() != w.Quiet
 		f.words[w.Group] = w
+		c.group(w.Group).dirty = true
 	}
 	f.returned = now
 	c.send(step.Send{To: from, Env: c.news(from, f, m.Number)})
 	f.seq = c.seq // what does not arrive shows in the next look
-	if news || len(f.sights) > 0 {
-		c.groupsTick(now)
-	}
 }
 
 // news is what changed since a follower's last look.
 func (c *Core) news(to string, f *follower, number uint64) *schema.Envelope {
-	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Formed: c.voter.Formed(), Standings: c.voter.Standings(),
-		Nodes: uint32(c.nodes()), Voters: c.voter.Roster(), Bodies: f.bodies, Zone: c.boot.Zone}
+	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Formed: c.voter.Formed(),
+		Nodes: uint32(c.nodes()), Bodies: f.bodies}
+	if ss := c.voter.Standings(); !slices.EqualFunc(ss, c.stood, func(a, b *schema.Standing) bool { return a.Voter == b.Voter && a.Generation == b.Generation }) || c.rostered != c.voter.Formed() {
+		c.stood, c.rostered = ss, c.voter.Formed()
+		c.seq++
+		c.stoodSeq = c.seq
+		r.Seq = c.seq
+	}
+	if f.seq < c.stoodSeq {
+		// Those who have heard it keep it.
+		r.Standings, r.Voters, r.Zone = c.stood, c.voter.Roster(), c.boot.Zone
+	}
 	if f.seq < c.seq {
 		for _, k := range slices.Sorted(maps.Keys(c.seqs)) {
 			if c.seqs[k] <= f.seq {
@@ -506,8 +524,12 @@
 			}
 		}
 	}
-	if len(ks) > 0 {
-		c.groupsTick(now)
+	for _, k := range ks {
+		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix} {
+			if n, ok := strings.CutPrefix(k, p); ok {
+				c.group(n).dirty = true
+			}
+		}
 	}
 }
 
@@ -579,6 +601,8 @@
 	}
 	c.bump(r.Key)
 	i := voterview.Instance(r)
+	g := c.group(i.Group)
+	g.insts[i.ID], g.dirty = i, true
 	c.say(result.InstanceSaid, "%s of %s at %s: leaves %t, leads %t, gone %t", i.ID, i.Group, i.Address, i.Leaving, i.Primary, i.Gone)
 	return true
 }
@@ -686,6 +710,8 @@
 		}
 	})
 	for _, k := range old {
+		i := voterview.Instance(c.insts.Get(k))
+		delete(c.group(i.Group).insts, i.ID)
 		c.insts.Forget(k)
 		delete(c.seqs, k)
 	}
@@ -728,7 +754,7 @@
 	if now-c.began < ownerSilent {
 		return false // the others had no time to be heard
 	}
-	for _, o := range step.Rank("change/"+n, c.view.Voters()) {
+	for _, o := range c.group(n).order {
 		if o == c.self {
 			return !c.leaving
 		}
@@ -743,12 +769,27 @@
 	if !c.formed {
 		return
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
+	all := now >= c.nextAll
+	if all {
+		c.nextAll = now + allEvery
+	}
+	var due []string
+	for n, g := range c.groups {
+		if all || g.dirty || now >= g.decider.Due() || g.sealed > g.cleared {
+			due = append(due, n)
+		}
+	}
+	slices.Sort(due)
+	for _, n := range due {
 		c.groupTick(now, n, c.groups[n])
 	}
 }
 
 func (c *Core) groupTick(now int64, n string, g *group) {
+	g.dirty = false
+	if len(g.order) != len(c.view.Voters()) || !slices.Contains(g.order, c.view.Voters()[0]) {
+		g.order = step.Rank("change/"+n, c.view.Voters())
+	}
 	k := voterview.LeaderPrefix + n
 	v, ok := c.view.Agreed(k)
 	l := &schema.Leadership{}
@@ -785,11 +826,12 @@
 			}
 			c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MembersPrefix + n, Base: e.Base, Data: b, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
 				g.decider.MembersDone()
+				g.dirty = true
 			})
 		case switchover.Put:
 			c.ask(now, ballots.Change{Name: c.name(), Key: k, Base: e.Base, Data: e.Data, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
 				g.decider.PutDone()
-				c.changed = true
+				g.dirty = true
 			})
 		}
 	}
@@ -798,15 +840,14 @@
 // sum brings what databases and nodes said lately into a decider's input.
 func (c *Core) sum(now int64, n, k string, g *group, l *schema.Leadership, in *switchover.Input) {
 	in.Heard, in.Gone, in.Sights = map[string]int64{}, map[string]bool{}, map[string]switchover.Sight{}
-	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
-		switch i := voterview.Instance(r); {
-		case i.Gone:
-			in.Gone[i.ID] = true
-		case i.Group == n:
+	for _, id := range slices.Sorted(maps.Keys(g.insts)) {
+		if i := g.insts[id]; i.Gone {
+			in.Gone[id] = true
+		} else {
 			in.Instances = append(in.Instances, i)
-			in.Heard[i.ID] = now - c.insts.AgeUs(now, r.Key)
+			in.Heard[id] = now - c.insts.AgeUs(now, voterview.DatabasePrefix+id)
 		}
-	})
+	}
 	in.Complete = now-c.began >= goneFactor*c.beatUs()
 	if v, ok := c.view.Agreed(voterview.MembersPrefix + n); ok {
 		m := &schema.Members{}
@@ -834,7 +875,7 @@
 		}
 		w := f.words[n]
 		in.Quiet = in.Quiet && w.GetQuiet() && w.GetRevision() >= in.Rev
-		in.Told = in.Told && w.GetRevision() >= l.SealRev
+		in.Told = in.Told && w.GetQuiet() && w.GetRevision() >= l.SealRev
 		if p := (ports.Position{Term: w.GetAckedTerm(), Number: w.GetAckedNumber()}); in.Acked.Before(p) {
 			in.Acked = p
 		}
@@ -843,7 +884,7 @@
 }
 
 func (c *Core) setDue(now int64) {
-	d := min(c.voter.Due(), c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone)
+	d := min(c.voter.Due(), c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll)
 	for _, a := range c.acks {
 		d = min(d, a.until, a.again)
 	}
@@ -854,6 +895,9 @@
 	}
 	for _, g := range c.groups {
 		d = min(d, g.decider.Due())
+		if g.dirty {
+			d = now
+		}
 		if g.sealed > g.cleared {
 			d = min(d, g.at+voterview.WaitUs)
 			if c.began+voterview.WaitUs > now {
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -118,6 +118,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- p.links.Serve(ln) }()
 	p.core.Start(p.nowUs())
+	go p.serveState(work)
 	log.WithFields(log.Fields{"name": p.boot.Name, "listen": p.boot.ControlNode()}).Info("stoneford-control is up")
 	t := time.NewTimer(0)
 	defer t.Stop()
@@ -170,8 +171,12 @@
 
 func (p *Process) step(evs []any) error {
 	for i, e := range evs {
-		if b, ok := e.(ports.Boot); ok {
-			p.core.SetBoot(b)
+		switch e := e.(type) {
+		case ports.Boot:
+			p.core.SetBoot(e)
+			evs[i] = nil
+		case stateAsked:
+			p.end(e.id, p.stateNow(e.whole))
 			evs[i] = nil
 		}
 	}
--- a/ports/boot.go
+++ b/ports/boot.go
@@ -21,7 +21,8 @@
 	Control       string // address for databases and operators, where it serves control
 
 	// The ports for traffic between processes, the same on all machines: control
-	// processes listen on the first, pool nodes on the one after it.
+	// processes listen on the first, pool nodes on the one after it. Each tells its
+	// state to operators StateAfter ports further on.
 	PortFirst, PortLast int
 
 	Seeds        []string // control addresses of some control processes
@@ -75,6 +76,17 @@
 // PoolNode is where a pool node on this machine listens for other processes.
 func (b Boot) PoolNode() string { return b.Node(b.PortFirst + 1) }
 
+// StateAfter is how far a process's port for operators who ask for its state
+// lies behind the one for other processes.
+const StateAfter = 2
+
+// State is where the process that listens at a port for other processes tells
+// its state; false where the range has no port for that.
+func (b Boot) State(node int) (string, bool) {
+	p := node + StateAfter
+	return b.Node(p), p <= b.PortLast
+}
+
 // SeedVoters are the addresses at which the control processes named as seeds
 // listen for other processes.
 func (b Boot) SeedVoters() []string {
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -97,9 +97,9 @@
 type State uint8
 
 const (
-	Idle State = iota
-	Open       // inside a transaction
-	Broken     // the transaction failed; its end rolls back
+	Idle   State = iota
+	Open         // inside a transaction
+	Broken       // the transaction failed; its end rolls back
 )
 
 // Answer is what a database said to one op. Body is the raw answer without its
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -22,6 +22,7 @@
 	rev     uint64
 	lease   int64
 	nodes   int
+	phases  map[string]ports.Phase
 	leaving bool
 	began   int64
 }
@@ -106,7 +107,9 @@
 	}
 	if slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) }) {
 		v.Groups, some = map[string]sessiontable.GroupView{}, true
+		c.phases = map[string]ports.Phase{}
 		for n, l := range c.view.Leaderships() {
+			c.phases[n] = l.Phase
 			v.Groups[n] = sessiontable.GroupView{Leadership: l, Doubt: c.view.Doubt(voterview.LeaderPrefix + n)}
 		}
 		c.view.Want() // the voters wait to hear that this node knows
@@ -138,7 +141,8 @@
 	}
 	for _, w := range r.Words {
 		k := voterview.LeaderPrefix + w.Group
-		rev, quiet := w.Revision, w.Quiet
+		// While the primary serves, nobody asks whether something runs there.
+		rev, quiet := w.Revision, w.Quiet && c.phases[w.Group] != ports.PhaseOpen
 		if c.view.Doubt(k) {
 			// It knows that something newer is on its way and rests on nothing older.
 			rev, quiet = c.view.Seen(k), false
--- a/sessionpool/process.go
+++ b/sessionpool/process.go
@@ -146,6 +146,7 @@
 	p.step(sessiontable.Tick{})
 	serve(func() error { return p.edges.Callers.Serve(work, p) })
 	serve(func() error { return p.edges.Probe.Serve(work, p.Ready) })
+	serving.Go(func() { p.serveState(work) })
 	log.WithFields(log.Fields{"name": b.Name, "front": b.Front, "node": b.PoolNode()}).Info("stoneford-pool is up")
 	select {
 	case err := <-failed:
--- a/sessionpool/process_test.go
+++ b/sessionpool/process_test.go
@@ -134,6 +134,12 @@
 	})
 }
 
+// pass lets the bubble's time pass.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 func newDatabase() *testDatabase { return &testDatabase{journal: &journal{}} }
 
 func reply(session uint64, text string, end bool) sessiontable.Reply {
@@ -283,7 +289,7 @@
 		}, s, func(t *testing.T, p *Process) {
 			began := time.Now()
 			p.step(sessiontable.Tick{})
-			time.Sleep(time.Second) // of the bubble's time
+			pass(time.Second)
 			if len(s.evs) != 2 || s.evs[1] != c.want || len(p.conns) != 0 || time.Since(began) != time.Second {
 				t.Errorf("%+v", s.evs)
 			}
@@ -388,23 +394,31 @@
 		return nil
 	}
 	in(t, nil, nil, s, func(t *testing.T, p *Process) {
-		p.step() // it is 1 s
-		s.due = 1_500_000
-		p.step()
-		time.Sleep(time.Second) // of the bubble's time, here and below
+		due := func(at int64) {
+			p.mu.Lock()
+			s.due = at
+			p.stepLocked()
+		}
+		steps := func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(s.evs)
+		}
+		due(2_000_000) // it is 1 s
+		due(1_500_000)
+		pass(time.Second)
 		if !slices.Equal(rang, []int64{1_500_000}) {
 			t.Error(rang)
 		}
 		// Set for 3 s, then nothing is due before 4: it rings once in between, for nobody.
-		s.due = 3_000_000
-		p.step()
-		s.due = 4_000_000
-		steps := len(s.evs)
-		time.Sleep(1500 * time.Millisecond)
-		if len(s.evs) != steps {
+		due(3_000_000)
+		due(4_000_000)
+		before := steps()
+		pass(1500 * time.Millisecond)
+		if steps() != before {
 			t.Error("the core was woken early")
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if !slices.Equal(rang, []int64{1_500_000, 4_000_000}) {
 			t.Error(rang)
 		}
--- /dev/null
+++ b/voterview/state.go
@@ -0,0 +1,41 @@
+package voterview
+
+import (
+	"maps"
+	"slices"
+
+	"stoneford/fleetstate"
+)
+
+// VoterStates are the voters as this process knows them.
+func (v *View) VoterStates(now int64) []fleetstate.Voter {
+	out := make([]fleetstate.Voter, 0, len(v.voters))
+	for _, o := range v.voters {
+		x := v.vs[o]
+		s := fleetstate.Voter{Node: o, Self: o == v.self, Zone: x.zone, Formed: x.formed, Run: x.life, HeardUs: fleetstate.Never}
+		if x.heard > 0 {
+			s.HeardUs = max(now-x.heard, 0)
+		}
+		for _, y := range v.vs { // what any of them knows of its disk
+			for _, g := range y.standings {
+				if g.Voter == o {
+					s.Generation = max(s.Generation, g.Generation>>32)
+				}
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// RegisterStates are the registers heard of, by key.
+func (v *View) RegisterStates() []fleetstate.Register {
+	out := make([]fleetstate.Register, 0, len(v.seen))
+	for _, k := range slices.Sorted(maps.Keys(v.seen)) {
+		out = append(out, fleetstate.Register{Key: k, Revision: v.chosen[k].Revision, Seen: v.seen[k]})
+	}
+	return out
+}
+
+// Run tells this process's run from earlier ones.
+func (v *View) Run() uint64 { return v.run }
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -49,12 +49,19 @@
 	heard     int64
 	nodes     int
 	zone      string
+	told      map[string]told // of each group, as it returned it heard
+}
+
+type told struct {
+	revision uint64
+	quiet    bool
 }
 
 type look struct {
 	number uint64
 	at     int64
 	by     map[string]bool
+	words  []*schema.GroupWord
 }
 
 // Chosen is an agreed value.
@@ -174,22 +181,31 @@
 		v.next = now + lookAgain
 	}
 	v.number++
-	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}})
+	rep := r()
+	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}, words: rep.Words})
 	if len(v.looks) > keptLooks {
 		v.looks = slices.Clone(v.looks[1:])
 	}
-	rep := r()
 	var out []step.Send
 	body := v.bodyFrom()
 	for _, o := range v.order() {
 		x := v.vs[o]
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
-			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: rep.Words}}}})
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words)}}}})
 	}
 	return out
 }
 
+// news are the words that a voter is not known to have heard. What was
+// acknowledged counts only once a change is under way, whose revision is news.
+func (x *voter) news(ws []*schema.GroupWord) []*schema.GroupWord {
+	return slices.DeleteFunc(slices.Clone(ws), func(w *schema.GroupWord) bool {
+		t, ok := x.told[w.Group]
+		return ok && t == told{w.Revision, w.Quiet}
+	})
+}
+
 // order ranks the voters for this process, so that bodies are asked of one.
 func (v *View) order() []string {
 	if i := slices.Index(v.voters, v.self); i >= 0 {
@@ -232,7 +248,10 @@
 		v.urgent = true // something before it was lost: ask for it
 		return
 	}
-	x.heard, x.formed, x.standings, x.nodes, x.zone = now, m.Formed, m.Standings, int(m.Nodes), m.Zone
+	x.heard, x.formed, x.nodes = now, m.Formed, int(m.Nodes)
+	if len(m.Standings) > 0 {
+		x.standings, x.zone = m.Standings, m.Zone // else as it said before
+	}
 	x.seq = max(x.seq, m.Seq)
 	for _, c := range m.Cells {
 		v.cell(x, c)
@@ -322,6 +341,12 @@
 		return
 	}
 	v.looks[i].by[from] = true
+	if x := v.vs[from]; x.told == nil {
+		x.told = map[string]told{}
+	}
+	for _, w := range v.looks[i].words {
+		v.vs[from].told[w.Group] = told{w.Revision, w.Quiet}
+	}
 	by := map[string][]*schema.Standing{}
 	for o := range v.looks[i].by {
 		if x := v.vs[o]; x != nil && x.formed {
