--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -37,7 +37,7 @@
 	Do   []sessiontable.Effect
 }
 
-// NewCore makes a node; run must be greater than any earlier run's.
+// NewCore makes a node; run must be another than any earlier run's.
 func NewCore(b ports.Boot, run, seed uint64, o sessiontable.Options) *Core {
 	o.ReadyUs = cmp.Or(o.ReadyUs, readyUs)
 	return &Core{Table: sessiontable.New(seed, b.Zone, o), view: voterview.New(b.PoolNode(), b.SeedVoters(), b.Zone, b.Name, "pool", run)}
--- a/sessionpool/process.go
+++ b/sessionpool/process.go
@@ -79,8 +79,7 @@
 
 // NewProcess makes a node.
 func NewProcess(b ports.Boot, clock clockwork.Clock, e Edges, o sessiontable.Options) *Process {
-	run := uint64(clock.Now().UnixMicro())
-	return newProcess(b, clock, e, NewCore(b, run, rand.Uint64(), o))
+	return newProcess(b, clock, e, NewCore(b, rand.Uint64(), rand.Uint64(), o))
 }
 
 func newProcess(b ports.Boot, clock clockwork.Clock, e Edges, n node) *Process {
@@ -347,7 +346,7 @@
 	}
 	if err != nil {
 		delete(p.conns, id)
-		p.stepLocked(sessiontable.Connected{Conn: id, Code: code, Err: err.Error(), NotThere: errors.Is(err, syscall.ECONNREFUSED)})
+		p.stepLocked(sessiontable.Connected{Conn: id, Code: code, Err: err.Error(), NotThere: errors.Is(err, syscall.ECONNREFUSED), Cut: cut(err)})
 		return false
 	}
 	c.db = db
--- a/sessiontable/ends.go
+++ b/sessiontable/ends.go
@@ -1,6 +1,7 @@
 package sessiontable
 
 import (
+	"stoneford/freshness"
 	"stoneford/ports"
 )
 
@@ -73,6 +74,10 @@
 	in.lag += (lag - in.lag) / 8
 }
 
+// all is what a commit may have written: of a caller's thing nothing finer is
+// known, and any missing commit makes a read stale.
+var all = []freshness.Atom{""}
+
 // noteEvidence takes what the primary's answer proves: all commits acknowledged
 // before the statement left lie at or below the position, as the lease held at
 // that moment (design 14.10).
@@ -96,7 +101,7 @@
 	}
 	fresh := !g.q.Known()
 	if own {
-		g.q.Committed(sent, p.Number, 1, nil)
+		g.q.Committed(sent, p.Number, 1, all)
 	} else {
 		g.q.Seen(sent, p.Number)
 	}
--- a/sessiontable/events.go
+++ b/sessiontable/events.go
@@ -23,13 +23,14 @@
 	// Left ends a session: the caller closed it or its connection broke.
 	Left struct{ Session uint64 }
 	// Connected ends a Connect; Err tells why there is none, NotThere that nobody
-	// listens there.
+	// listens there, Cut that somebody did and ended it.
 	Connected struct {
 		Conn     uint64
 		Position ports.Position
 		Code     ports.Code // of a bounced connect, with Err set
 		Err      string
 		NotThere bool
+		Cut      bool
 	}
 	// Answered is the answer to the oldest op of a connection that has none.
 	Answered struct {
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -51,6 +51,8 @@
 	cut     bool
 	spread  bool // the reads in its line were placed anew since
 	wake    timer
+	useRate float64 // uses of a connection a second
+	usedUs  int64
 
 	pos   ports.Position // newest its answers named
 	run   [6]int64       // average by class kind and whether it writes, 0 unknown
--- a/sessiontable/lines.go
+++ b/sessiontable/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"stoneford/ports"
@@ -57,9 +58,47 @@
 	if in.g.conf.ConnLimit == 0 {
 		return 1
 	}
-	return max(1, (in.g.conf.ConnLimit-t.o.Spare)/max(t.nodes, 1))
+	return max(1, int(t.share(in)))
 }
 
+// share is this node's part of an instance's limit of connections, which is
+// below 1 where there are more nodes than connections.
+func (t *Table) share(in *instance) float64 {
+	return float64(in.g.conf.ConnLimit-t.o.Spare) / float64(max(t.nodes, 1))
+}
+
+// keepFor is how long an idle connection is kept. Where there is less than one
+// for each node, so short that all nodes together, each at its usual rate of
+// use, hold no more than most of the limit (design 14.11).
+func (t *Table) keepFor(in *instance) int64 {
+	s := t.share(in)
+	if s >= 1 || in.g.conf.ConnLimit == 0 {
+		return t.o.IdleUs
+	}
+	us := s * crowdedShare / max(in.useRate, leastRate) * 1e6
+	return int64(min(max(us, 20_000), float64(t.o.IdleUs)))
+}
+
+// used feeds an instance's rate of use.
+func (t *Table) used(in *instance) {
+	dt := float64(t.now-in.usedUs) / rateOverUs
+	if in.usedUs == 0 {
+		in.useRate = firstRate
+	} else {
+		in.useRate = in.useRate*math.Exp(-dt) + 1e6/rateOverUs
+	}
+	in.usedUs = t.now
+}
+
+// What a node whose share is below one connection reckons with.
+const (
+	crowdedShare = 0.6
+	rateOverUs   = 10e6 // the rate of use is an average over this
+	firstRate    = 0.4  // uses a second before any is known
+	leastRate    = 0.05
+	crowdedAgain = 25_000 // and it tries again after about this
+)
+
 // dispatch starts what it can of an instance's line.
 func (t *Table) dispatch(in *instance) {
 	for in.line.len() > 0 && !in.out {
@@ -177,7 +216,12 @@
 		return
 	}
 	t.remove(c)
-	if e.Code == ports.TooMany {
+	if crowded := t.share(in) < 1; crowded && (e.Code == ports.TooMany || e.Cut && !e.NotThere) {
+		// Its turn comes once another node has closed one.
+		in.backoff = t.now + crowdedAgain + t.r.Int64N(crowdedAgain)
+		t.wakeAt(in, in.backoff)
+		return
+	} else if e.Code == ports.TooMany {
 		in.backoff = t.now + 300_000
 	} else {
 		in.backUs = min(max(in.backUs*2, 50_000), 1_000_000)
@@ -319,6 +363,7 @@
 	}
 	in.running++
 	t.running++
+	t.used(in)
 	t.arm(&a.due, min(a.expiry, t.now+t.silence(in, a)))
 	t.emit(Send{Conn: c.id, Ops: ops})
 	t.touch(c)
@@ -372,7 +417,7 @@
 		return
 	}
 	in.idle = append(in.idle, c)
-	t.arm(&c.due, t.now+t.o.IdleUs)
+	t.arm(&c.due, t.now+t.keepFor(in))
 	in.dirtyIn(t)
 }
 
--- a/sessiontable/rules_test.go
+++ b/sessiontable/rules_test.go
@@ -254,7 +254,7 @@
 	x.ask(2, ports.Write)
 	x.fails(x.sent(), ports.ReadOnly, ports.Idle)
 	if len(find[Reply](x.out)) > 0 || len(find[Look](x.out)) != 1 {
-		t.Fatalf("a beginning refused for want of the lead gives %+v", x.out)
+		t.Fatalf("a beginning bounced for want of the lead gives %+v", x.out)
 	}
 }
 
@@ -485,6 +485,40 @@
 	}
 }
 
+// TestOwnCommitCounts: a follower needs this node's own commits as well as
+// others', once they are old enough.
+func TestOwnCommitCounts(t *testing.T) {
+	for _, old := range []bool{true, false} {
+		x := newBench(t, Options{})
+		x.open(1, "c")
+		x.open(2, "b")
+		x.ask(1, ports.Read)
+		x.answers(x.sent(), 10)
+		x.ask(2, ports.Read)
+		x.answers(x.sent(), 10)
+		x.ask(1, ports.Write)
+		x.answers(x.sent(), 11)
+		x.now += 200_000
+		x.ask(1, ports.Read)
+		x.answers(x.sent(), 11)
+		want := int64(10)
+		if old {
+			x.now += 200_000
+			want = 11
+		}
+		// The follower that is known to stand at 10.
+		for _, in := range x.b.groups["g"].ins {
+			if in.ID != "x" && in.pos.Number != 10 {
+				in.failing = 1
+			}
+		}
+		x.ask(2, ports.Read)
+		if s := x.sent(); x.at(s.Conn) == "x" || s.Ops[0].After.Number != want {
+			t.Fatalf("old %v: at %s after %v", old, x.at(s.Conn), s.Ops[0].After)
+		}
+	}
+}
+
 // TestPinned: a session reads what it wrote itself.
 func TestPinned(t *testing.T) {
 	x := newBench(t, Options{})
