Nothing is acknowledged after another primary may have been promoted

Ruled out: the choice of the furthest; holding; the lease itself (no read was stale).

The platform is asked only once every node's lease of what was before has run out or the node has confirmed the sealing. A transaction's first statement is placed anew only if it never left. Nodes work with an agreed primary that was not announced since the control processes started; the lease is 1.1 s.

--- a/fleetsimulation/controls.go
+++ b/fleetsimulation/controls.go
@@ -103,6 +103,9 @@
 		for _, d := range fx.Do {
 			c.do(d)
 		}
+		if len(fx.Log) > 0 {
+			c.evs = append([]any{coordinator.Synced{Mark: fx.Mark}}, c.evs...)
+		}
 		if len(c.evs) > 0 {
 			f.After(0, func() { c.turn(gen) })
 			return
--- a/fleetsimulation/faults.go
+++ b/fleetsimulation/faults.go
@@ -359,6 +359,23 @@
 		})
 		return true
 	}},
+	{"a control process lost while a primary is changed", func(f *Fleet) bool {
+		g, c := f.anyGroup(), f.anyControl()
+		if g == nil || c == nil {
+			return false
+		}
+		d := g.primary
+		d.crash(f.Chance(0.5))
+		f.later(2_000_000, 7_000_000, func() { f.backDB(d) })
+		f.later(100_000, 2_000_000, func() {
+			f.killControl(c, f.Chance(0.5))
+			if f.Chance(0.3) {
+				c.disk = nil
+			}
+			f.later(100_000, 1_000_000, func() { f.backControl(c) })
+		})
+		return true
+	}},
 	{"answers lost", func(f *Fleet) bool {
 		g := f.groups[f.R.IntN(len(f.groups))]
 		d := g.primary
--- a/fleetsimulation/fleet.go
+++ b/fleetsimulation/fleet.go
@@ -48,6 +48,9 @@
 	// BusyIsNotThere has control processes' edges tell of a bounced question as
 	// of a refused connection.
 	BusyIsNotThere bool
+	// BeginningRests has a beginning that fails leave its connection at rest, so
+	// that what is sent along with it runs on its own.
+	BeginningRests bool
 }
 
 var zoneNames = []string{"zone-a", "zone-b", "zone-c"}
@@ -109,7 +112,7 @@
 	f.net = newNetwork(f.World)
 	f.truth = newTruth(f)
 	f.operators = operators{f: f, tables: map[uint64]*version{}}
-	f.promotionReleases, f.badBeginBreaks = f.Chance(0.5), true
+	f.promotionReleases, f.badBeginBreaks = f.Chance(0.5), !p.BeginningRests
 	f.provider = provider{ip: providerHost, takeUs: f.Between(250_000, 700_000), slowUs: 5_000}
 	f.net.zones[providerHost], f.net.zones["operators"] = zoneNames[0], zoneNames[0]
 	zones := map[string]string{}
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -105,7 +105,8 @@
 			v.Table, some = &c.table, true
 		}
 	}
-	if slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) }) {
+	led := slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) })
+	if led {
 		v.Groups, some = map[string]sessiontable.GroupView{}, true
 		c.phases = map[string]ports.Phase{}
 		for n, l := range c.view.Leaderships() {
@@ -114,11 +115,8 @@
 		}
 		c.view.Want() // the voters wait to hear that this node knows
 	}
-	if dbs {
-		v.Instances, some = c.view.Instances(), true
-		if v.Instances == nil {
-			v.Instances = []ports.Instance{}
-		}
+	if dbs || led {
+		v.Instances, some = c.instances(), true
 	}
 	if n := c.view.Nodes(); n != c.nodes {
 		c.nodes, some = n, true
@@ -132,6 +130,20 @@
 	}
 }
 
+// instances are the databases announced, and the agreed primaries that were not
+// yet: when all control processes have just started they know of the registers
+// alone.
+func (c *Core) instances() []ports.Instance {
+	is := append([]ports.Instance{}, c.view.Instances()...)
+	for n, l := range c.view.Leaderships() {
+		if l.Primary != "" && l.Address != "" && !c.view.Gone(l.Primary) && !slices.ContainsFunc(is, func(i ports.Instance) bool { return i.ID == l.Primary }) {
+			is = append(is, ports.Instance{ID: l.Primary, Group: n, Address: l.Address, Primary: true})
+		}
+	}
+	slices.SortFunc(is, func(a, b ports.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return is
+}
+
 // report is what the next look tells.
 func (c *Core) report(now int64) voterview.Report {
 	r := c.Table.Report(now)
--- a/sessiontable/clients_test.go
+++ b/sessiontable/clients_test.go
@@ -227,7 +227,9 @@
 	w.look()
 	w.after(50_000, func() {
 		w.looks()
-		w.others()
+		if !w.p.alone {
+			w.others()
+		}
 	})
 	for range callers {
 		w.after(w.between(60_000, 400_000), w.open)
@@ -302,6 +304,7 @@
 		p    plan
 	}{
 		{"quiet", plan{forgets: true, brokenBegin: true}},
+		{"alone", plan{alone: true, brokenBegin: true}},
 		{"busy", plan{busy: true, brokenBegin: true}},
 		{"lost", plan{lose: true, cut: true, silent: true, brokenBegin: true}},
 		{"crash", plan{crash: true, brokenBegin: true}},
--- a/sessiontable/ends.go
+++ b/sessiontable/ends.go
@@ -216,27 +216,9 @@
 }
 
 func (t *Table) done(c *conn, a *ask, an ports.Answer) {
-	g, x := a.g, a.tx
+	x := a.tx
 	r := ports.Reply{Body: an.Body}
 	kept := a.mayKeep()
-	if kept {
-		// A commit of a primary that was replaced meanwhile counts where followers
-		// had to receive it (design 14.7).
-		moved := c.led == 0 || g.view.Term != a.term || g.view.Primary != c.in.ID || g.view.Phase == ports.PhaseSealing || g.view.Phase == ports.PhasePromoting
-		if moved && g.conf.Sync == 0 {
-			r = ports.Reply{Code: ports.InDoubt, Text: "the primary was replaced meanwhile"}
-		} else {
-			if a.s.floorOf != g {
-				a.s.floor, a.s.floorOf = ports.Position{}, g
-			}
-			if a.s.floor.Before(an.Position) {
-				a.s.floor = an.Position
-			}
-			if g.acked.Before(an.Position) {
-				g.acked = an.Position
-			}
-		}
-	}
 	switch {
 	case x == nil, a.commit:
 		if x != nil {
@@ -261,9 +243,82 @@
 		t.release(x)
 		return
 	}
+	if kept {
+		t.confirm(a, &unsure{led: c.led, by: c.in.ID, position: an.Position, reply: r, until: min(a.expiry, t.now+t.o.UnsureUs)})
+		return
+	}
 	t.end(a, r)
 }
 
+// certainty of a commit that a database answered.
+const (
+	certain   = iota // its primary is surely the only one now
+	uncertain        // that is not known now, and may be in a moment
+	doubtful         // it is being replaced, or was
+)
+
+// confirm ends a commit that its database answered. It is acknowledged only
+// while the database surely leads: nobody else is promoted before every node's
+// lease has run out or the node has confirmed the change, so nothing is
+// acknowledged after another was (design 14.7).
+func (t *Table) confirm(a *ask, u *unsure) {
+	g, p := a.g, u.position
+	switch t.certainty(g, u.led, u.by) {
+	case uncertain:
+		a.unsure = u
+		g.unsure = append(g.unsure, a)
+		t.arm(&a.due, u.until)
+		t.lookNow()
+		return
+	case doubtful:
+		t.end(a, ports.Reply{Code: ports.InDoubt, Text: "the primary was being replaced"})
+		return
+	}
+	if a.s.floorOf != g {
+		a.s.floor, a.s.floorOf = ports.Position{}, g
+	}
+	if a.s.floor.Before(p) {
+		a.s.floor = p
+	}
+	if g.acked.Before(p) {
+		g.acked = p
+	}
+	t.end(a, u.reply)
+}
+
+func (t *Table) certainty(g *group, led uint64, by string) int {
+	switch {
+	case led == 0 || !g.has || g.view.Term != led || g.view.Primary != by,
+		g.view.Phase != ports.PhaseOpen && g.view.Phase != ports.PhaseClosing:
+		return doubtful
+	case g.view.Doubt, t.now >= g.sure:
+		return uncertain
+	}
+	return certain
+}
+
+// unsure is a commit whose database answered, and that waits for the lease.
+type unsure struct {
+	led      uint64
+	by       string
+	position ports.Position
+	reply    ports.Reply
+	until    int64
+}
+
+// confirmAgain goes through the commits of a group that wait for certainty.
+func (t *Table) confirmAgain(g *group) {
+	as := g.unsure
+	g.unsure = nil
+	for _, a := range as {
+		if u := a.unsure; u != nil {
+			a.unsure = nil
+			t.disarm(&a.due)
+			t.confirm(a, u)
+		}
+	}
+}
+
 // retry has an ask run once more, here or elsewhere, if it still may.
 func (t *Table) retry(a *ask, an *ports.Answer) {
 	if an != nil {
@@ -416,10 +471,12 @@
 	t.disarm(&a.due)
 	x := a.tx
 	switch {
-	case a.mayKeep():
+	case a.mayKeep() && a.left:
 		t.end(a, ports.Reply{Code: ports.InDoubt, Text: "the connection broke before its end was known"})
 	case x != nil:
-		if !x.ran && !a.write && !a.commit && a.tries < t.o.Tries && t.now < a.expiry && !a.s.gone {
+		// A first statement that left may have run there; one whose beginning alone
+		// left did not.
+		if !x.ran && !a.left && a.tries < t.o.Tries && t.now < a.expiry && !a.s.gone {
 			x.begun, x.over = false, false
 			a.tried = append(a.tried, c.in.ID)
 			t.place(a)
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -20,11 +20,12 @@
 	not     uint64
 	notUs   int64 // when the primary of revision not said that it is none, 0 for never
 
-	q     freshness.Queue // commits in the primary's order, numbers within qterm
-	qterm uint64
-	acked ports.Position
-	ins   []*instance // by id
-	wait  heap[*ask]  // for a primary or a lease
+	q      freshness.Queue // commits in the primary's order, numbers within qterm
+	qterm  uint64
+	acked  ports.Position
+	ins    []*instance // by id
+	wait   heap[*ask]  // for a primary or a lease
+	unsure []*ask      // commits that were answered and wait for a lease
 }
 
 // instance is one database with this node's line to it.
@@ -281,6 +282,9 @@
 	if p := g.view.Phase; g.has && !g.view.Doubt && (p == ports.PhaseOpen || p == ports.PhaseClosing) {
 		g.sure = max(g.sure, e.LeaseUntil)
 	}
+	if len(g.unsure) > 0 {
+		t.confirmAgain(g)
+	}
 }
 
 // unseat ends the transactions on a primary that was replaced or is about to
--- a/sessiontable/lines.go
+++ b/sessiontable/lines.go
@@ -341,6 +341,7 @@
 	if a.shape != nil {
 		op.Name = a.shape.name
 	}
+	a.left = !alone
 	if !alone {
 		ops = append(ops, op)
 		c.pend = append(c.pend, pending{mainOp, a})
@@ -375,6 +376,7 @@
 	if a.shape != nil {
 		op.Name = a.shape.name
 	}
+	a.left = true
 	c.pend = append(c.pend, pending{mainOp, a})
 	t.emit(Send{Conn: c.id, Ops: []ports.Op{op}})
 }
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -247,6 +247,10 @@
 		t.overran(a)
 		return
 	}
+	if a.unsure != nil {
+		t.end(a, ports.Reply{Code: ports.InDoubt, Text: "whether its primary still led is not known"})
+		return
+	}
 	if a.later {
 		t.unplace(a)
 		t.place(a) // anew, with what was learned since
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -147,6 +147,8 @@
 	bounced *ports.Answer // the newest that says it was not run
 	hint    int64         // when to come back, of the newest estimate
 	due     timer
+	unsure  *unsure
+	left    bool // the statement itself was sent, not only its beginning
 }
 
 // goesOn says that the ask's transaction holds a connection.
@@ -419,6 +421,7 @@
 // end replies to an ask and settles its session and transaction. The ask runs
 // nowhere any more, or its connection was dropped.
 func (t *Table) end(a *ask, r ports.Reply) {
+	a.unsure = nil
 	t.unplace(a)
 	t.disarm(&a.due)
 	s, x := a.s, a.tx
--- a/sessiontable/world_test.go
+++ b/sessiontable/world_test.go
@@ -141,6 +141,7 @@
 type plan struct {
 	busy, lose, cut, silent, crash, changes, leave, cutOff, apart, brokenBegin bool
 	forgets                                                                    bool // a rollback undoes values set in its transaction
+	alone                                                                      bool // no other node commits
 }
 
 // world is a table among fake databases, callers and voters.
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -539,7 +539,9 @@
 	if len(missing) > 0 && !g.enough(now, in, best, missing) {
 		return
 	}
-	if in.Sync == 0 && !in.Cleared {
+	if !in.Cleared {
+		// A node may still acknowledge what the old primary commits; once another
+		// was promoted, followers may be held no longer.
 		g.wake(now + 50_000)
 		return
 	}
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -30,18 +31,21 @@
 const (
 	// LeaseUs is how long a look that a majority returned may be relied upon,
 	// from its sending.
-	LeaseUs = 1_500_000
+	LeaseUs = 1_100_000
 	// WaitUs is when, on another's clock, such a lease has surely run out: a
 	// tenth longer, for clocks that run at different rates.
 	WaitUs    = LeaseUs * 11 / 10
-	lookEvery = 550_000
+	lookEvery = 420_000
 	lookAgain = 150_000 // where the lease is missing
 	urgentGap = 8_000   // least time between two looks asked for
 	keptLooks = 16
+	// numberShift keeps the numbers of looks short on the wire.
+	numberShift = 28
 )
 
 type voter struct {
 	life      uint64
+	number    uint64 // newest look that this life returned
 	seq       uint64
 	formed    bool
 	standings []*schema.Standing
@@ -84,7 +88,8 @@
 	voters                 []string
 	vs                     map[string]*voter
 	looks                  []look
-	number                 uint64
+	first, number          uint64 // looks sent by this run: (first, number]
+	counts                 bool
 	chosen                 map[string]Chosen
 	seen                   map[string]uint64 // newest revision any voter holds
 	insts                  map[string]*schema.Record
@@ -99,14 +104,28 @@
 }
 
 // New makes a view; voters are the addresses of the voters known at the start,
-// run is greater than that of any earlier run.
+// run tells this run of the process from any other. Runs have no order: the time
+// of day that they might be taken from can step back.
 func New(self string, voters []string, zone, name, kind string, run uint64) *View {
-	v := &View{self: self, name: name, zone: zone, kind: kind, run: run, vs: map[string]*voter{}, chosen: map[string]Chosen{},
+	// Looks are counted from a place of the run's own, so that what is returned to
+	// an earlier run's look is not taken for a return to one of this run's.
+	first := step.Hash("look", self, strconv.FormatUint(run, 10)) >> numberShift
+	v := &View{self: self, name: name, zone: zone, kind: kind, run: run, first: first, number: first, vs: map[string]*voter{}, chosen: map[string]Chosen{},
 		seen: map[string]uint64{}, insts: map[string]*schema.Record{}, changed: map[string]bool{}}
 	v.setVoters(voters)
 	return v
 }
 
+// SetVoters takes who the voters are, once that is known otherwise.
+func (v *View) SetVoters(vs []string) {
+	v.setVoters(vs)
+	v.urgent = true
+}
+
+// SetCounts says that this process is one of those that count for what can be
+// lost; it tells the voters so.
+func (v *View) SetCounts(counts bool) { v.counts = counts }
+
 func (v *View) setVoters(vs []string) {
 	v.voters = slices.Clone(vs)
 	for _, o := range vs {
@@ -192,7 +211,7 @@
 		x := v.vs[o]
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
-			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words)}}}})
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words), Counts: v.counts}}}})
 	}
 	return out
 }
@@ -233,21 +252,37 @@
 // Step takes a voter's return, or news it sent unasked.
 func (v *View) Step(now int64, from string, m *schema.LookReturn) {
 	x := v.vs[from]
-	if x == nil || m.Life < x.life {
-		return
-	}
-	if m.Life > x.life {
-		if m.Since != 0 {
+	if x == nil || m.Number > 0 && (m.Number <= v.first || m.Number > v.number) {
+		return // not a voter, or not to a look of this run
+	}
+	if m.Life != x.life {
+		// Another run of the voter. Which of two is the later one is told by this
+		// process's own looks, not by the lives: the time of day may step back.
+		switch {
+		case m.Number == 0:
+			v.urgent = true
+			return
+		case x.life != 0 && m.Number <= x.number:
+			return // it returned an earlier look than the known one
+		case m.Since != 0:
 			x.life, x.seq = 0, 0 // something is missing: ask for all
 			v.urgent = true
 			return
 		}
-		// Another run of the voter: what it said before it says anew.
+		// What it said before it says anew.
 		*x = voter{life: m.Life, cells: map[string]*schema.Cell{}}
 	} else if m.Since > x.seq {
 		v.urgent = true // something before it was lost: ask for it
 		return
 	}
+	x.number = max(x.number, m.Number)
+	if len(m.Voters) > 0 && !slices.Equal(m.Voters, v.voters) {
+		v.setVoters(m.Voters) // agreed once for good (design 3.6)
+		if x = v.vs[from]; x == nil {
+			v.urgent = true
+			return
+		}
+	}
 	x.heard, x.formed, x.nodes = now, m.Formed, int(m.Nodes)
 	if len(m.Standings) > 0 {
 		x.standings, x.zone = m.Standings, m.Zone // else as it said before
@@ -259,9 +294,6 @@
 	for _, r := range m.Instances {
 		v.instance(r)
 	}
-	if len(m.Voters) > 0 && !slices.Equal(m.Voters, v.voters) && m.Formed {
-		v.setVoters(m.Voters)
-	}
 	if m.Number > 0 {
 		v.returned(from, m.Number)
 	}
@@ -372,6 +404,12 @@
 	return is
 }
 
+// Gone says that a database is known to be gone.
+func (v *View) Gone(id string) bool {
+	r := v.insts[DatabasePrefix+id]
+	return r != nil && Instance(r).Gone
+}
+
 // Instance reads a database's record.
 func Instance(r *schema.Record) ports.Instance {
 	d := &schema.InstanceRecord{}
