A planned switch holds the followers at once

The followers' status had just been asked while the switch was weighed, and the pause between two such questions held the first hold up too.

Change: with a new revision every database may be asked at once.

--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -283,6 +283,9 @@
 	if g.rev != in.Rev {
 		g.rev, g.since, g.asked, g.calls, g.bounced = in.Rev, now, 0, 0, false
 		clear(g.tidied)
+		for _, s := range g.m {
+			s.next = 0 // what was asked now and then is asked at once
+		}
 		if ports.Phase(in.State.GetPhase()) == ports.PhaseOpen {
 			g.begun = 0
 		} else if g.begun == 0 {
