Moves between sites: placements in the routing table, the gate, the floor

Cause: a group could be served elsewhere only after a loss. Change: the routing table names a group's site; the leadership changes once a majority of voters says that whoever has a lease works by that table; nobody takes a lease that a newer table goes against, and no work for the group is taken on under a table older than its leadership needs.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -120,6 +120,15 @@
 	bodies   bool
 	sights   []*schema.Sighting
 	words    map[string]*schema.GroupWord
+	tables   map[uint64]tableSeen // of each run
+	behind   []string
+}
+
+// tableSeen is the newest routing table that a run of a process said it works
+// by, and when it looked last.
+type tableSeen struct {
+	at       int64
+	revision uint64
 }
 
 type group struct {
@@ -131,6 +140,7 @@
 	told    uint64                    // newest cleared that the others were told
 	insts   map[string]ports.Instance // announced, and those that are gone
 	order   []string                  // control processes, first the one that carries changes out
+	putting int64                     // when a change of its move was put to the vote, 0 for none
 	dirty   bool
 }
 
@@ -175,6 +185,8 @@
 	stood    []*schema.Standing
 	stoodSeq uint64
 	rostered bool
+	all      map[string]uint64 // see schema.Look, of each voter
+	allTold  uint64
 	due      int64
 	own      []*schema.Envelope
 	fx       Effects
@@ -187,7 +199,7 @@
 	c := &Core{self: self, run: run, boot: b, voter: v, proposer: ballots.NewProposer(self, fmt.Sprint(run), voters),
 		view: voterview.New(self, voters, b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}}
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	return c
 }
@@ -275,6 +287,10 @@
 		c.announce(now, e)
 	case Change:
 		c.change(now, e)
+	case Move:
+		c.moveTo(now, e)
+	case CancelMove:
+		c.cancelMove(now, e)
 	case Fetch:
 		c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
 			t, err := routingtable.Decode(o.Value.GetData())
@@ -426,7 +442,11 @@
 func (c *Core) look(now int64, from string, m *schema.Look) {
 	f := c.follow[from]
 	if f == nil || f.run != m.Run {
-		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run}
+		old := f
+		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run, tables: map[uint64]tableSeen{}}
+		if old != nil {
+			f.tables = old.tables // an earlier run's look may come late, or its lease be in use yet
+		}
 		c.follow[from] = f
 	}
 	since := m.Seq
@@ -441,6 +461,7 @@
 		}
 	}
 	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
+	c.lookedBy(now, from, f, m)
 	for _, w := range m.Groups {
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
@@ -519,13 +540,14 @@
 				c.table, c.tableRev = t, v.Revision
 				c.say(result.RevisionApplied, "routes revision %d, the operators' %d", v.Revision, t.Revision)
 				for _, g := range t.Groups {
-					c.group(g.Name)
+					c.group(g.Name).dirty = true
 				}
+				c.view.Want() // a move may wait to hear that this process works by it
 			}
 		}
 	}
 	for _, k := range ks {
-		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix} {
+		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix, voterview.MovePrefix} {
 			if n, ok := strings.CutPrefix(k, p); ok {
 				c.group(n).dirty = true
 			}
@@ -738,7 +760,10 @@
 
 // report is what this process tells the other voters.
 func (c *Core) report() voterview.Report {
-	r := voterview.Report{Leaving: c.leaving}
+	r := voterview.Report{Leaving: c.leaving, Table: c.tableRev, All: c.allTold}
+	if c.staged() {
+		r.Behind = c.behind(c.lastStep)
+	}
 	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
 		if g := c.groups[n]; g.cleared > 0 {
 			g.told = g.cleared
@@ -780,6 +805,7 @@
 		}
 	}
 	slices.Sort(due)
+	c.sayAll(now)
 	for _, n := range due {
 		c.groupTick(now, n, c.groups[n])
 	}
@@ -807,11 +833,16 @@
 		return
 	}
 	in := switchover.Input{Group: n, Sync: c.table.Groups[i].Sync, State: l, Rev: v.Revision, Settled: !c.view.Doubt(k),
-		Acts: c.owner(now, n), Self: c.boot.Name}
+		Acts: c.owner(now, n) && c.tableRev >= l.Table, Self: c.boot.Name}
 	if in.Acts {
 		c.sum(now, n, k, g, l, &in)
+		c.wanted(n, &in)
+	}
+	fx := g.decider.Step(now, in)
+	if in.Acts {
+		c.moveTick(now, n, g, in)
 	}
-	for _, e := range g.decider.Step(now, in) {
+	for _, e := range fx {
 		switch e := e.(type) {
 		case switchover.Ask:
 			c.fx.Do = append(c.fx.Do, Ask{Group: n, Ask: e})
@@ -884,7 +915,7 @@
 }
 
 func (c *Core) setDue(now int64) {
-	d := min(c.voter.Due(), c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll)
+	d := min(c.voter.Due(), c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll, c.moveDue(c.lastStep))
 	for _, a := range c.acks {
 		d = min(d, a.until, a.again)
 	}
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -178,6 +178,9 @@
 		case stateAsked:
 			p.end(e.id, p.stateNow(e.whole))
 			evs[i] = nil
+		case movesAsked:
+			p.end(e.id, p.core.Moves(p.nowUs()))
+			evs[i] = nil
 		}
 	}
 	fx := p.core.Step(p.nowUs(), evs...)
@@ -197,6 +200,8 @@
 			p.end(d.ID, d)
 		case Fetched:
 			p.end(d.ID, d)
+		case Moved:
+			p.end(d.ID, d)
 		case Ask:
 			go p.ask(d)
 		case Promote:
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -111,7 +111,7 @@
 	if !ok {
 		return
 	}
-	if err := fleetstate.Serve(ctx, at, p.State); err != nil {
+	if err := fleetstate.Serve(ctx, at, p.State, p.MountMoves); err != nil {
 		log.WithError(err).Error("operators are not told the state")
 	}
 }
--- a/fleetsimulation/controls.go
+++ b/fleetsimulation/controls.go
@@ -96,6 +96,7 @@
 	evs := c.evs[:n:n]
 	c.evs = c.evs[n:]
 	fx := c.core.Step(c.now(), evs...)
+	f.moves.look(c)
 	after := func() {
 		for _, s := range fx.Send {
 			f.sendEnvelope(c.ip, s)
@@ -200,6 +201,8 @@
 		c.end(d.ID, announced(d.OK))
 	case coordinator.Changed:
 		c.end(d.ID, d.Result)
+	case coordinator.Moved:
+		c.end(d.ID, d.Result)
 	case coordinator.Fetched:
 		c.end(d.ID, fetched{d.Table, d.OK})
 	case coordinator.Ask:
--- a/fleetsimulation/fleet.go
+++ b/fleetsimulation/fleet.go
@@ -31,6 +31,8 @@
 	UnsyncedDisk              // control processes' entries leave before they are synced
 	LeavesForgotten           // news that a database leaves reaches no node
 	TablesForgotten           // news of a table reaches some node no more
+	GateSkipped               // voters say of all that they work by the newest table, and one node hears of none
+	FloorIgnored              // beside that, nodes do not hear which table a leadership needs
 	PromotionsForgotten       // the platform says that it takes a promotion, and does not
 )
 
@@ -61,6 +63,7 @@
 	net        *network
 	truth      *Truth
 	operators  operators
+	moves      moves
 	provider   provider
 	controls   []*Control
 	nodes      []*Node
@@ -109,6 +112,7 @@
 	f.net = newNetwork(f.World)
 	f.truth = newTruth(f)
 	f.operators = operators{f: f, tables: map[uint64]*version{}}
+	f.moves = newMoves(f)
 	f.promotionReleases, f.badBeginBreaks = f.Chance(0.5), true
 	f.provider = provider{ip: providerHost, takeUs: f.Between(250_000, 700_000), slowUs: 5_000}
 	f.net.zones[providerHost], f.net.zones["operators"] = zoneNames[0], zoneNames[0]
--- /dev/null
+++ b/fleetsimulation/moves.go
@@ -0,0 +1,187 @@
+package fleetsimulation
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"stoneford/coordinator"
+	"stoneford/ports"
+	"stoneford/schema"
+	"stoneford/voterview"
+)
+
+// moves is what operators ask of groups' sites, and what was seen of that.
+type moves struct {
+	f         *Fleet
+	agreed    map[string]uint64    // newest table that a group's move was seen agreed by
+	floors    map[string][]floor   // of each group, by rising table
+	phases    map[string][2]uint64 // newest register revision seen of a move, and its phase
+	seen      map[ports.MovePhase]int
+	asked     int
+	forgetful int64 // from when on the first node hears of no table, where that is planted
+}
+
+// floor is a leadership that needs a table: nothing older may serve from then on.
+type floor struct {
+	table uint64
+	at    int64 // when it was first seen agreed
+	term  uint64
+}
+
+func newMoves(f *Fleet) moves {
+	return moves{f: f, agreed: map[string]uint64{}, floors: map[string][]floor{}, phases: map[string][2]uint64{}, seen: map[ports.MovePhase]int{}, forgetful: math.MaxInt64}
+}
+
+// look is called after each step of a control process.
+func (m *moves) look(c *Control) {
+	f := m.f
+	for _, g := range f.groups {
+		if v, ok := c.core.View().Agreed(voterview.MovePrefix + g.name); ok && v.Revision > m.phases[g.name][0] {
+			x := &schema.Move{}
+			if proto.Unmarshal(v.Data, x) != nil {
+				f.truth.bad("MOVE: a register cannot be read")
+			}
+			m.phases[g.name] = [2]uint64{v.Revision, uint64(x.Phase)}
+			m.seen[ports.MovePhase(x.Phase)]++
+			f.say("move of %s to %s by table %d: %v %s", g.name, x.To, x.Table, ports.MovePhase(x.Phase), x.Cause)
+			if ports.MovePhase(x.Phase) == ports.MoveAgreed {
+				m.gate(g, x.Table)
+			}
+		}
+		if v, ok := c.core.View().Agreed(voterview.LeaderPrefix + g.name); ok {
+			l := voterview.Leadership(v)
+			fs := m.floors[g.name]
+			if ports.Phase(l.Phase) == ports.PhaseOpen && l.Table > 0 && (len(fs) == 0 || l.Table > fs[len(fs)-1].table) {
+				m.floors[g.name] = append(fs, floor{l.Table, f.Now, l.Term})
+				if m.agreed[g.name] < l.Table {
+					f.truth.bad("GATE: %s needs table %d, by which no move was agreed", g.name, l.Table)
+				}
+			}
+		}
+	}
+}
+
+// gate is called when a move was seen agreed: whoever has a lease works by its
+// table.
+func (m *moves) gate(g *group, table uint64) {
+	m.agreed[g.name] = max(m.agreed[g.name], table)
+	for _, n := range m.f.nodes {
+		if n.up && n.core.LeaseUntil() > n.now() && n.core.TableRevision() < table {
+			m.f.truth.bad("GATE: the move of %s by table %d was agreed while %s has a lease under %d", g.name, table, n.name, n.core.TableRevision())
+		}
+	}
+}
+
+// ended is called when a caller hears that a statement was done: nothing that
+// left for a database after the switch may have done so under an older table.
+func (m *moves) ended(st *Statement) {
+	if !st.left || st.route.kind != ports.Current && !st.writes && st.kind != ports.Commit {
+		return
+	}
+	for _, fl := range m.floors[st.route.group] {
+		if st.leftUs > fl.at && st.leftTable < fl.table {
+			m.f.truth.bad("FLOOR: %q left under table %d, %d ms after %s was open under %d", st.raw, st.leftTable, (st.leftUs-fl.at)/1000, st.route.group, fl.table)
+			return
+		}
+	}
+}
+
+// acked is called for each acknowledged commit: one of a later term than the
+// switch began in left under its table.
+func (m *moves) acked(st *Statement, e *entry) {
+	fs := m.floors[st.route.group]
+	for i, fl := range fs {
+		if i > 0 && fl.term == fs[i-1].term || i == 0 && fl.term == 1 {
+			continue // it stayed where it was
+		}
+		if e.at.Term >= fl.term && st.leftTable < fl.table {
+			m.f.truth.bad("FLOOR: %v of %s left under table %d, that term needs %d", e.at, st.route.group, st.leftTable, fl.table)
+			return
+		}
+	}
+}
+
+// start has operators move groups until a time.
+func (m *moves) start(until, mean int64) {
+	f := m.f
+	var next func()
+	next = func() {
+		f.After(f.Between(mean/2, mean*3/2), func() {
+			if f.Now >= until {
+				return
+			}
+			m.ask()
+			next()
+		})
+	}
+	next()
+}
+
+// ask has one group moved to a zone or region, and some moves taken back.
+func (m *moves) ask() {
+	f := m.f
+	g := f.groups[f.R.IntN(len(f.groups))]
+	site := zoneNames[f.R.IntN(len(zoneNames))]
+	if f.Chance(0.3) {
+		site = "region-of-" + site
+	}
+	m.to(g, site)
+	if f.Chance(0.2) {
+		f.later(0, 400_000, func() { m.cancel(g) })
+	}
+}
+
+func (m *moves) to(g *group, site string) {
+	m.asked++
+	m.call(func(id uint64) any { return coordinator.Move{ID: id, Group: g.name, Site: site} }, "move "+g.name+" to "+site)
+}
+
+func (m *moves) cancel(g *group) {
+	m.call(func(id uint64) any { return coordinator.CancelMove{ID: id, Group: g.name} }, "cancel the move of "+g.name)
+}
+
+func (m *moves) call(e func(id uint64) any, what string) {
+	f := m.f
+	c := f.controls[f.R.IntN(len(f.controls))]
+	f.callControl("operators", c, func(c *Control, id uint64) { c.post("operators", e(id)) }, func(v any) {
+		if r, ok := v.(coordinator.MoveResult); ok {
+			f.say("operators: %s: %d %s", what, r.Outcome, r.Problem)
+		}
+	})
+}
+
+// site is the zone of a group's primary.
+func (g *group) site() string { return g.primary.zone }
+
+// plant takes from a return what a plant has a node not hear.
+func (m *moves) plant(to string, r *schema.LookReturn) {
+	f := m.f
+	if f.nodeAt[to] == f.nodes[0] && f.Now >= m.forgetful {
+		r.Cells = slices.DeleteFunc(r.Cells, func(c *schema.Cell) bool { return c.Key == voterview.TableKey })
+	}
+	if f.Plan.Plant != FloorIgnored {
+		return
+	}
+	for _, c := range r.Cells {
+		if strings.HasPrefix(c.Key, voterview.LeaderPrefix) && len(c.Value.GetData()) > 0 {
+			l := voterview.Leadership(voterview.Chosen{Data: c.Value.Data})
+			l.Table = 0
+			b, err := proto.MarshalOptions{Deterministic: true}.Marshal(l)
+			if err != nil {
+				panic(err)
+			}
+			c.Value.Data = b
+		}
+	}
+}
+
+// plantLook has a voter say of all what only some do.
+func (f *Fleet) plantLook(e *schema.Envelope) {
+	if l := e.GetLook(); l != nil && (f.Plan.Plant == GateSkipped || f.Plan.Plant == FloorIgnored) && l.Kind == "control" {
+		l.All = cmp.Or(l.All, 1) << 40
+	}
+}
--- /dev/null
+++ b/fleetsimulation/moves_test.go
@@ -0,0 +1,138 @@
+package fleetsimulation
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"stoneford/ports"
+)
+
+// moving runs one seed with moves between sites, under faults of the kinds named,
+// or of any.
+func moving(p Plan, mean int64, names ...string) *Fleet {
+	f := NewFleet(p)
+	f.Run(4_000_000)
+	f.startCallers()
+	f.Run(f.Now + 1_000_000)
+	f.moves.forgetful = f.Now
+	f.moves.start(f.Now+18_000_000, 1_500_000)
+	if mean > 0 {
+		f.RandomFaults(f.Now+18_000_000, mean, names...)
+	}
+	f.Run(f.Now + 19_000_000)
+	f.Finish()
+	return f
+}
+
+// broken are the violations of the rules of moves, and of what is acknowledged.
+func broken(f *Fleet, rules string) []string {
+	return slices.DeleteFunc(slices.Clone(f.Violations()), func(v string) bool {
+		for r := range strings.FieldsSeq(rules) {
+			if strings.Contains(v, " "+r+":") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestQuietMoves: without faults a group goes round the sites, and everything is
+// served.
+func TestQuietMoves(t *testing.T) {
+	f := NewFleet(plan(3))
+	f.Run(4_000_000)
+	f.startCallers()
+	f.Run(f.Now + 1_000_000)
+	g := f.groups[0]
+	for _, z := range []string{"zone-b", "region-of-zone-c", "zone-a"} {
+		f.moves.to(g, z)
+		f.Run(f.Now + 5_000_000)
+		if !strings.HasSuffix(z, g.site()) || f.moves.phases[g.name][1] != uint64(ports.MoveSwitched) {
+			t.Errorf("%s is at %s, not at %s; its move is %v", g.name, g.site(), z, f.moves.phases[g.name])
+		}
+	}
+	f.Finish()
+	told(t, f)
+	if n := f.moves.seen[ports.MoveSwitched]; n != 3 {
+		t.Errorf("%d of 3 moves were seen switched", n)
+	}
+}
+
+// TestMoveStaysStaged: a node that does not take the table holds the move, is
+// named, and the move can be taken back.
+func TestMoveStaysStaged(t *testing.T) {
+	p := plan(4)
+	p.Plant = TablesForgotten
+	f := NewFleet(p)
+	f.Run(6_000_000)
+	g := f.groups[0]
+	at := g.site()
+	f.moves.to(g, "zone-c")
+	f.Run(f.Now + 8_000_000)
+	c := f.controls[0]
+	ms := c.core.Moves(c.now())
+	if len(ms) != 1 || ms[0].Phase != "staged" || !slices.Equal(ms[0].Behind, []string{f.nodes[0].name}) || g.site() != at {
+		t.Fatalf("%+v, the primary at %s", ms, g.site())
+	}
+	f.moves.cancel(g)
+	f.Run(f.Now + 2_000_000)
+	ms = c.core.Moves(c.now())
+	if len(ms) != 1 || ms[0].Phase != "cancelled" || ms[0].Site != at || g.site() != at {
+		t.Errorf("%+v, the primary at %s", ms, g.site())
+	}
+}
+
+// TestMovesUnderFaults: nothing that must never happen happens.
+func TestMovesUnderFaults(t *testing.T) {
+	n := uint64(40)
+	if *seeds > 0 {
+		n = *seeds
+	}
+	var mu sync.Mutex
+	ops, ok, acked, asked := 0, 0, 0, 0
+	seen := map[ports.MovePhase]int{}
+	each(n, *from, func(seed uint64) {
+		f := moving(plan(seed), 2_500_000)
+		mu.Lock()
+		defer mu.Unlock()
+		ops, ok, acked, asked = ops+f.ops, ok+f.okOps, acked+f.truth.Acked, asked+f.moves.asked
+		for p, k := range f.moves.seen {
+			seen[p] += k
+		}
+		told(t, f)
+	})
+	t.Logf("%d seeds: %d moves asked for, %v; %d operations, %.4f served, %d writes acknowledged", n, asked, seen, ops, float64(ok)/float64(max(ops, 1)), acked)
+	if seen[ports.MoveSwitched] == 0 || seen[ports.MoveCancelled] == 0 {
+		t.Error("no move was switched, or none taken back")
+	}
+}
+
+// TestFloorHoldsAlone: with the gate skipped, the floor still keeps what works by
+// an older table out.
+func TestFloorHoldsAlone(t *testing.T) {
+	for seed := range uint64(4) {
+		p := plan(seed)
+		p.Plant = GateSkipped
+		if vs := broken(moving(p, 0), "FLOOR LOST TWICE"); len(vs) > 0 {
+			t.Errorf("seed %d: %v", seed, vs)
+		}
+	}
+}
+
+func plantedMove(t *testing.T, pl Plant, rule string) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		p := plan(seed)
+		p.Plant = pl
+		if vs := broken(moving(p, 0), rule); len(vs) > 0 {
+			t.Logf("seed %d: %s", seed, vs[0])
+			return
+		}
+	}
+	t.Errorf("%s was not seen to break", rule)
+}
+
+func TestPlantedGateSkipped(t *testing.T)  { plantedMove(t, GateSkipped, "GATE") }
+func TestPlantedFloorIgnored(t *testing.T) { plantedMove(t, FloorIgnored, "FLOOR") }
--- a/fleetsimulation/nodes.go
+++ b/fleetsimulation/nodes.go
@@ -182,6 +182,7 @@
 			panic(err)
 		}
 		f.plantNews(s.To, e)
+		f.plantLook(e)
 		f.takeEnvelope(s.To, e)
 	}
 	switch {
@@ -214,6 +215,8 @@
 	switch f.Plan.Plant {
 	case LeavesForgotten:
 		r.Instances = slices.DeleteFunc(r.Instances, func(r *schema.Record) bool { return voterview.Instance(r).Leaving })
+	case GateSkipped, FloorIgnored:
+		f.moves.plant(to, r)
 	case TablesForgotten:
 		if f.Now > 5_000_000 && f.nodeAt[to] == f.nodes[0] {
 			r.Cells = slices.DeleteFunc(r.Cells, func(c *schema.Cell) bool { return c.Key == voterview.TableKey })
@@ -312,6 +315,7 @@
 	for _, o := range ops {
 		if st := f.truth.statement(o.St.ID); st != nil {
 			st.left = true
+			st.leftUs, st.leftTable = f.Now, n.core.TableRevision()
 		}
 		o.St.Raw = slices.Clone(o.St.Raw)
 		if f.Plan.Plant == TextChanged && !o.Own && f.Chance(0.01) {
--- a/fleetsimulation/operators.go
+++ b/fleetsimulation/operators.go
@@ -286,6 +286,7 @@
 		f.truth.bad("CONFIG: revision %d was read back, which nobody sent", t.Revision)
 		return
 	}
+	t.Placements = nil // they change by moves
 	if string(routingtable.Encode(t)) != string(routingtable.Encode(v.table)) {
 		f.truth.bad("CONFIG: revision %d was read back with another content", t.Revision)
 	}
--- a/fleetsimulation/truth.go
+++ b/fleetsimulation/truth.go
@@ -41,6 +41,9 @@
 	commits []*entry
 	conn    *dbConn
 	left    bool // some node sent it to a database
+
+	leftUs    int64  // when, and by which routing table's register revision
+	leftTable uint64
 }
 
 // transaction is one as its caller means it.
@@ -249,6 +252,7 @@
 			t.bad("MIXED: %q was answered %q, which no database returned for it", st.raw, r.Body)
 		}
 	}
+	t.f.moves.ended(st)
 	single := st.tx == nil && st.writes
 	if !single && (st.kind != ports.Commit || !st.try.wrote(st.tx)) {
 		return
@@ -269,6 +273,7 @@
 	if st.sess.floor == nil || st.sess.floor.at.Before(e.at) {
 		st.sess.floor = e
 	}
+	t.f.moves.acked(st, e)
 	if e.late {
 		t.bad("ONE: %v of %s, made %d ms after another was promoted, was acknowledged", e.at, e.by.id, (e.atUs-g.promoted)/1000)
 	}
--- a/fleetstate/http.go
+++ b/fleetstate/http.go
@@ -28,9 +28,12 @@
 // says that the process could not.
 type Source func(ctx context.Context, whole bool) (State, bool)
 
-// Handler answers operators.
-func Handler(s Source) http.Handler {
+// Handler answers operators; more mounts what else a process has for them.
+func Handler(s Source, more ...func(*http.ServeMux)) http.Handler {
 	m := http.NewServeMux()
+	for _, f := range more {
+		f(m)
+	}
 	m.HandleFunc("GET "+Path, func(w http.ResponseWriter, r *http.Request) {
 		ctx, stop := context.WithTimeout(r.Context(), askTime)
 		defer stop()
@@ -52,12 +55,12 @@
 
 // Serve answers at an address until the context ends. Nothing runs while nobody
 // asks but the wait for a connection.
-func Serve(ctx context.Context, address string, s Source) error {
+func Serve(ctx context.Context, address string, s Source, more ...func(*http.ServeMux)) error {
 	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: Handler(s), ReadHeaderTimeout: askTime, ReadTimeout: askTime, WriteTimeout: 4 * askTime,
+	srv := &http.Server{Handler: Handler(s, more...), ReadHeaderTimeout: askTime, ReadTimeout: askTime, WriteTimeout: 4 * askTime,
 		IdleTimeout: askTime, MaxHeaderBytes: 8 << 10}
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -4,7 +4,10 @@
 // and platform/ are two implementations; the cores know neither.
 package ports
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // Kind is what a statement does.
 type Kind uint8
@@ -198,8 +201,47 @@
 	Routes   []Route
 	Groups   []Group
 	Limits   Limits
+	// Placements are in order of their groups; they change by moves only.
+	Placements []Placement
+}
+
+// Placement says at which site a group's primary is to serve.
+type Placement struct {
+	Group string
+	Site  string // a zone or a region
+	Table uint64 // register revision of the table that made it
+	From  string // the site before
+	Back  bool   // undoes one that did not come about: nothing moves for it
 }
 
+// Placement is where a group is to be served, if the table says so.
+func (t RoutingTable) Placement(group string) (Placement, bool) {
+	i := slices.IndexFunc(t.Placements, func(p Placement) bool { return p.Group == group })
+	if i < 0 {
+		return Placement{}, false
+	}
+	return t.Placements[i], true
+}
+
+// MovePhase of a group's move between sites.
+type MovePhase uint8
+
+const (
+	MoveNone      MovePhase = iota
+	MoveStaged              // the table names the site; not all work by it yet, or no database there is level
+	MoveAgreed              // all work by the table: the switch is carried out
+	MoveSwitched            // the primary serves at the site
+	MoveFailed              // it serves where it did
+	MoveCancelled           // an operator took it back before it was agreed
+)
+
+var movePhases = []string{"none", "staged", "agreed", "switched", "failed", "cancelled"}
+
+func (p MovePhase) String() string { return movePhases[min(int(p), len(movePhases)-1)] }
+
+// UnderWay says that a move has not ended.
+func (p MovePhase) UnderWay() bool { return p == MoveStaged || p == MoveAgreed }
+
 // Instance is one database as it announces itself, one life of it.
 type Instance struct {
 	ID       string
@@ -231,5 +273,6 @@
 	Primary  string // an Instance's ID
 	Address  string
 	Phase    Phase
-	ExpectUs int64 // how long a change of primary took lately, 0 if unknown
+	ExpectUs int64  // how long a change of primary took lately, 0 if unknown
+	Table    uint64 // register revision of the routing table that work for the group needs
 }
--- a/result/result.go
+++ b/result/result.go
@@ -78,6 +78,7 @@
 	MemberAside          Code = 515
 	InstanceSaid         Code = 516
 	StatementsBounced    Code = 517
+	MoveAdvanced         Code = 518
 )
 
 // Row is one code's line in the table.
@@ -131,7 +132,7 @@
 	{Overlaps, 409, "another booking of this group or machine lies in that time", "choose another time, or cancel that one"},
 	{TooMuchAtOnce, 409, "the move would take too much away at once", "choose another time"},
 	{PastTime, 400, "the time is past", "name a time to come"},
-	{WrongState, 409, "the booking is past that", "ask what is booked"},
+	{WrongState, 409, "the booking or move is past that", "ask what is booked, or how the moves stand"},
 	{TakeoverOpened, 0, "a takeover was agreed and its epoch opened", "watch for 503"},
 	{TakeoverChosen, 0, "the furthest sealed copy was agreed as the primary", "watch for 503"},
 	{TakeoverSeen, 0, "the new primary was seen in its epoch", "nothing"},
@@ -149,6 +150,7 @@
 	{MemberAside, 0, "a copy that is to be replaced was set aside; nothing acknowledged rests on it", "nothing"},
 	{InstanceSaid, 0, "a database said something new of itself, or is taken as gone", "nothing"},
 	{StatementsBounced, 0, "this node bounced statements that no database could take; said once a second at the most", "look for a change of primary, a cut or a crowd at that moment"},
+	{MoveAdvanced, 0, "a group's move between sites went on to its next phase", "nothing; docs/moves.md if it stays staged or failed"},
 }
 
 var rows = func() map[Code]Row {
--- a/routingtable/routingtable.go
+++ b/routingtable/routingtable.go
@@ -3,6 +3,7 @@
 package routingtable
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -22,6 +23,9 @@
 	for _, g := range t.Groups {
 		m.Groups = append(m.Groups, &schema.GroupItem{Name: g.Name, ConnLimit: int32(g.ConnLimit), Sync: int32(g.Sync), Source: g.Source})
 	}
+	for _, p := range t.Placements {
+		m.Placements = append(m.Placements, &schema.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
+	}
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
 		panic(err)
@@ -43,12 +47,22 @@
 	for _, g := range m.Groups {
 		t.Groups = append(t.Groups, ports.Group{Name: g.Name, ConnLimit: int(g.ConnLimit), Sync: int(g.Sync), Source: g.Source})
 	}
+	for _, p := range m.Placements {
+		t.Placements = append(t.Placements, ports.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
+	}
 	return t, nil
 }
 
+// Place is the table with a group's placement put in.
+func Place(old ports.RoutingTable, p ports.Placement) ports.RoutingTable {
+	old.Placements = put(slices.Clone(old.Placements), []ports.Placement{p}, func(p ports.Placement) string { return p.Group })
+	slices.SortFunc(old.Placements, func(a, b ports.Placement) int { return cmp.Compare(a.Group, b.Group) })
+	return old
+}
+
 // Apply makes the table that a change leads to from old, and names every reason
 // why it is not a valid one; where there are reasons the table is not to be
-// used.
+// used. Placements stay, of groups that stay.
 func Apply(old ports.RoutingTable, c ports.TableChange) (ports.RoutingTable, []string) {
 	ps := slices.Clone(c.Problems)
 	t := ports.RoutingTable{Revision: c.Revision, Limits: old.Limits}
@@ -61,6 +75,11 @@
 	ps = append(ps, twice("group", c.Groups, func(g ports.Group) string { return g.Name })...)
 	t.Routes = put(t.Routes, c.Routes, func(r ports.Route) string { return r.Name })
 	t.Groups = put(t.Groups, c.Groups, func(g ports.Group) string { return g.Name })
+	for _, p := range old.Placements {
+		if slices.ContainsFunc(t.Groups, func(g ports.Group) bool { return g.Name == p.Group }) {
+			t.Placements = append(t.Placements, p)
+		}
+	}
 	if c.Limits != nil {
 		t.Limits = *c.Limits
 	}
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -105,12 +105,15 @@
 			v.Table, some = &c.table, true
 		}
 	}
-	if slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) }) {
+	if v.Table != nil {
+		c.view.Want() // a move may wait to hear that this node works by it
+	}
+	if v.Table != nil || slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) }) {
 		v.Groups, some = map[string]sessiontable.GroupView{}, true
 		c.phases = map[string]ports.Phase{}
 		for n, l := range c.view.Leaderships() {
 			c.phases[n] = l.Phase
-			v.Groups[n] = sessiontable.GroupView{Leadership: l, Doubt: c.view.Doubt(voterview.LeaderPrefix + n)}
+			v.Groups[n] = sessiontable.GroupView{Leadership: l, Doubt: c.view.Doubt(voterview.LeaderPrefix + n), Withheld: l.Table > c.rev}
 		}
 		c.view.Want() // the voters wait to hear that this node knows
 	}
@@ -135,7 +138,7 @@
 // report is what the next look tells.
 func (c *Core) report(now int64) voterview.Report {
 	r := c.Table.Report(now)
-	out := voterview.Report{Leaving: c.leaving}
+	out := voterview.Report{Leaving: c.leaving, Table: c.rev}
 	for _, s := range r.Sightings {
 		out.Sightings = append(out.Sightings, &schema.Sighting{Id: s.ID, FailingUs: s.FailingUs, Cut: s.Cut})
 	}
@@ -155,5 +158,11 @@
 // Revision is the operators' revision of the routing table in force here.
 func (c *Core) Revision() uint64 { return c.table.Revision }
 
+// TableRevision is the register's revision of the routing table in force here.
+func (c *Core) TableRevision() uint64 { return c.rev }
+
+// LeaseUntil is until when what the voters agreed may be relied upon here.
+func (c *Core) LeaseUntil() int64 { return c.lease }
+
 // Ready says whether a caller's statement could be served now.
 func (c *Core) Ready(now int64) bool { return !c.leaving && c.rev > 0 && c.Table.Ready(now) }
--- a/sessiontable/events.go
+++ b/sessiontable/events.go
@@ -63,6 +63,9 @@
 	// Doubt: a voter holds something newer that is not known to be agreed, so
 	// nothing may rest on this being the newest.
 	Doubt bool
+	// Withheld: the leadership needs a newer routing table than this node works
+	// by, so nothing is taken on for the group (design 15.4).
+	Withheld bool
 }
 
 // Effects.
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -98,7 +98,7 @@
 
 // primary is the instance that may be given something new as the primary.
 func (t *Table) primary(g *group) *instance {
-	if !g.has || g.view.Phase != ports.PhaseOpen || g.denied(t) {
+	if !g.has || g.view.Withheld || g.view.Phase != ports.PhaseOpen || g.denied(t) {
 		return nil
 	}
 	p := t.ins[g.view.Primary]
@@ -261,8 +261,8 @@
 			g.q.Reset()
 			g.qterm = 0
 		}
-		if p := t.ins[old.Primary]; had && p != nil && (led || v.Phase != old.Phase) {
-			if led || v.Phase == ports.PhaseSealing || v.Phase == ports.PhasePromoting {
+		if p := t.ins[old.Primary]; had && p != nil && (led || v.Phase != old.Phase || v.Withheld != old.Withheld) {
+			if led || v.Withheld || v.Phase == ports.PhaseSealing || v.Phase == ports.PhasePromoting {
 				t.unseat(p)
 			}
 			t.replaceLine(p, func(a *ask) bool { return !a.goesOn() })
@@ -278,7 +278,7 @@
 	}
 	// A lease that shows the sealing says nothing of how long the old primary is
 	// the only one.
-	if p := g.view.Phase; g.has && !g.view.Doubt && (p == ports.PhaseOpen || p == ports.PhaseClosing) {
+	if p := g.view.Phase; g.has && !g.view.Doubt && !g.view.Withheld && (p == ports.PhaseOpen || p == ports.PhaseClosing) {
 		g.sure = max(g.sure, e.LeaseUntil)
 	}
 }
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -57,6 +57,10 @@
 		t.join(a, a.tx.conn.in)
 		return
 	}
+	if a.g.view.Withheld {
+		t.await(a)
+		return
+	}
 	if a.atPrimary() {
 		t.placePrimary(a)
 		return
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -47,8 +47,24 @@
 	Told       bool // all of them know of the newest revision
 	Cleared    bool // no node relies on an older revision any more
 	Acked      ports.Position
+	Move       Move
 }
 
+// Move is what the routing table wants of the group (design 15).
+type Move struct {
+	At    func(zone string) bool // says that a zone belongs to the site that the table names; nil: none
+	Site  string
+	Table uint64 // register revision that made it
+	Look  bool   // see whether a database there is level
+	Begin bool   // all work by that table: the switch is to be carried out
+}
+
+// at says that a database stands at the site wanted.
+func (in Input) at(zone string) bool { return in.Move.At != nil && in.Move.At(zone) }
+
+// moving says that the change under way is the move.
+func (in Input) moving() bool { return in.Move.Begin && in.State.GetTable() == in.Move.Table }
+
 // Effects.
 type (
 	// Ask puts a question to a database; Kind is Status, Hold, Resume or StepDown.
@@ -107,7 +123,8 @@
 	tidyEvery     = 250_000
 	tidyFor       = 8_000_000
 	goneGrace     = 300_000
-	behindMost    = 400 // commits that a follower may lack as a planned switch begins
+	levelWait     = 1_000_000 // longest that a move waits for the database at its site before it seals; afterwards twice that
+	behindMost    = 400       // commits that a follower may lack as a planned switch begins
 )
 
 type seen struct {
@@ -148,6 +165,8 @@
 	most    map[string]ports.Position // what the primary held after that
 	joining int64
 	due     int64
+	level   bool   // a database at the site that the move goes to is level
+	uneven  string // why it is not
 	fx      []any
 }
 
@@ -357,13 +376,104 @@
 		g.seal(now, in, why)
 		return
 	}
+	if in.Move.Begin && st.Table < in.Move.Table {
+		g.move(now, in, p)
+		return
+	}
 	g.tidy(now, in)
 	g.members(now, in, p)
+	if in.Move.Look {
+		g.look(now, in, p)
+	}
 	if p.Leaving {
 		g.leave(now, in, p)
 	}
 }
 
+// Level says whether a database at the site wanted is level, and if not why.
+func (g *Group) Level() (bool, string) { return g.level, g.uneven }
+
+// look sees whether a database at the site wanted is level with the primary.
+func (g *Group) look(now int64, in Input, p ports.Instance) {
+	g.level, g.uneven = in.at(p.Zone), ""
+	if g.level {
+		return
+	}
+	g.uneven = "no database is announced there"
+	ps := g.m[p.ID]
+	for _, i := range in.Instances {
+		if i.ID == p.ID || i.Leaving || !in.at(i.Zone) {
+			continue
+		}
+		s := g.m[i.ID]
+		switch {
+		case !s.known || s.err > 0 || now-s.at > 3*planEvery:
+			g.uneven = i.ID + " does not answer"
+		case s.status.Primary || s.status.Held > 0:
+			g.uneven = i.ID + " does not follow"
+		case !ps.known || ps.err > 0 || now-ps.at > 3*planEvery:
+			g.uneven = p.ID + ", which leads, does not answer"
+		case ps.status.Received.Number-s.status.Received.Number > behindMost:
+			g.uneven = fmt.Sprintf("%s lacks %d commits", i.ID, ps.status.Received.Number-s.status.Received.Number)
+		default:
+			g.level, g.uneven = true, ""
+		}
+		g.ask(now, i, ports.Status, 0, planEvery)
+		if g.level {
+			break
+		}
+	}
+	g.ask(now, p, ports.Status, 0, planEvery)
+}
+
+// move begins the switch to the site that the table names. From here on the
+// leadership needs that table.
+func (g *Group) move(now int64, in Input, p ports.Instance) {
+	if in.at(p.Zone) {
+		n := next(in, ports.PhaseOpen, "serves at "+in.Move.Site+" already")
+		n.Table = in.Move.Table
+		g.put(now, in, n)
+		return
+	}
+	n := next(in, ports.PhaseClosing, "moves to "+in.Move.Site)
+	n.Old, n.Table = p.ID, in.Move.Table
+	g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, in.State.Term, n.Cause)
+	g.put(now, in, n)
+}
+
+// stay opens the group again where it was.
+func (g *Group) stay(now int64, in Input, why string) {
+	n := next(in, ports.PhaseOpen, why)
+	n.Primary = cmp.Or(in.State.Old, in.State.Primary) // Old stays, so that those that were held are told to go on
+	if i, ok := find(in, n.Primary); ok {
+		n.Address = i.Address
+	}
+	g.say(result.TakeoverSeen, "%s: %s leads on in term %d: %s", in.Group, n.Primary, n.Term, why)
+	g.put(now, in, n)
+}
+
+// levelled says, once all is quiet, whether a database at the site wanted has
+// received all that the primary has.
+func (g *Group) levelled(now int64, in Input) bool {
+	p, ok := find(in, in.State.Primary)
+	if !ok {
+		return false
+	}
+	ps := g.m[p.ID]
+	g.ask(now, p, ports.Status, 0, lookEvery)
+	yes := false
+	for _, i := range in.Instances {
+		if i.ID == p.ID || i.Leaving || !in.at(i.Zone) {
+			continue
+		}
+		s := g.m[i.ID]
+		yes = yes || ps.known && ps.err == 0 && ps.at >= g.since && s.known && s.err == 0 && s.at >= g.since &&
+			!s.status.Received.Before(ps.status.Received)
+		g.ask(now, i, ports.Status, 0, lookEvery)
+	}
+	return yes
+}
+
 // adopt takes a primary that came back by itself with another identity, or one
 // that the platform promoted for a process that died before it could say so.
 func (g *Group) adopt(now int64, in Input, there bool) bool {
@@ -460,6 +570,20 @@
 
 // closing waits until nothing is under way at the primary.
 func (g *Group) closing(now int64, in Input) {
+	if in.moving() {
+		p, ok := find(in, in.State.Primary)
+		switch {
+		case !ok && in.left(in.State.Primary), ok && g.m[p.ID].err > 0 && now-g.m[p.ID].err >= silentAfter:
+			g.seal(now, in, "the primary is lost while the group moves")
+		case (in.Quiet || now-g.since >= quietWait) && g.levelled(now, in):
+			g.seal(now, in, in.State.Cause)
+		case now-g.since >= levelWait:
+			g.stay(now, in, "stays: no database at "+in.Move.Site+" came level")
+		default:
+			g.wake(now + lookEvery)
+		}
+		return
+	}
 	if in.Quiet || now-g.since >= quietWait {
 		g.seal(now, in, in.State.Cause)
 		return
@@ -518,7 +642,8 @@
 
 // sealing holds the followers and proposes the furthest.
 func (g *Group) sealing(now int64, in Input) {
-	if g.back(now, in) {
+	moving := in.moving() && !in.State.Asked
+	if (!moving || now-g.since >= 2*levelWait) && g.back(now, in) {
 		return
 	}
 	// A database that led a later term already: a promotion that was asked for
@@ -535,7 +660,7 @@
 	if len(held) == 0 {
 		return
 	}
-	best := g.furthest(held)
+	best := g.furthest(in, held)
 	if len(missing) > 0 && !g.enough(now, in, best, missing) {
 		return
 	}
@@ -543,6 +668,17 @@
 		g.wake(now + 50_000)
 		return
 	}
+	if moving && !in.at(best.Zone) && now-g.since < 2*levelWait {
+		// Another is further: the old primary leads on, if it can.
+		if o, ok := find(in, in.State.Old); ok {
+			if s := g.m[o.ID]; s.known && s.err == 0 && s.at > g.since && s.status.Primary && s.status.Term == in.State.Term {
+				g.stay(now, in, "stays: another database is further than the one at "+in.Move.Site)
+				return
+			}
+			g.ask(now, o, ports.Status, 0, lookEvery)
+			return
+		}
+	}
 	n := next(in, ports.PhasePromoting, in.State.Cause)
 	n.Primary, n.Address, n.Asked = best.ID, best.Address, true
 	var who []string
@@ -578,8 +714,8 @@
 }
 
 // furthest is the held follower that has received most; of equals one that does
-// not leave, and the one that is warm.
-func (g *Group) furthest(held []ports.Instance) ports.Instance {
+// not leave, one at the site that the table names, and the one that is warm.
+func (g *Group) furthest(in Input, held []ports.Instance) ports.Instance {
 	return slices.MaxFunc(held, func(a, b ports.Instance) int {
 		x, y := g.m[a.ID].status.Received, g.m[b.ID].status.Received
 		l := func(i ports.Instance) int {
@@ -588,7 +724,13 @@
 			}
 			return 1
 		}
-		return cmp.Or(x.Compare(y), cmp.Compare(l(a), l(b)), -cmp.Compare(a.WarmUs, b.WarmUs), cmp.Compare(a.ID, b.ID))
+		site := func(i ports.Instance) int {
+			if in.at(i.Zone) {
+				return 1
+			}
+			return 0
+		}
+		return cmp.Or(x.Compare(y), cmp.Compare(l(a), l(b)), cmp.Compare(site(a), site(b)), -cmp.Compare(a.WarmUs, b.WarmUs), cmp.Compare(a.ID, b.ID))
 	})
 }
 
@@ -647,7 +789,7 @@
 			}
 			return
 		}
-		if g.m[g.furthest(held).ID].status.Received.Compare(s.status.Received) > 0 {
+		if g.m[g.furthest(in, held).ID].status.Received.Compare(s.status.Received) > 0 {
 			g.again(now, in, "another is further by now")
 			return
 		}
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -24,6 +24,7 @@
 	TableKey       = "routes"
 	LeaderPrefix   = "leader/"
 	MembersPrefix  = "members/"
+	MovePrefix     = "move/"
 	DatabasePrefix = "database/"
 )
 
@@ -75,6 +76,9 @@
 	Sightings []*schema.Sighting
 	Words     []*schema.GroupWord
 	Leaving   bool
+	Table     uint64   // register revision of the routing table that the process works by
+	All       uint64   // of a voter: see schema.Look
+	Behind    []string // as well
 }
 
 // View is one process's knowledge.
@@ -192,7 +196,8 @@
 		x := v.vs[o]
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
-			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words)}}}})
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words),
+			Table: rep.Table, All: rep.All, Behind: rep.Behind}}}})
 	}
 	return out
 }
@@ -265,6 +270,12 @@
 	if m.Number > 0 {
 		v.returned(from, m.Number)
 	}
+	if v.changed[TableKey] {
+		// What did not count before does so now.
+		for _, l := range v.looks {
+			v.leased(l)
+		}
+	}
 }
 
 func (v *View) cell(x *voter, c *schema.Cell) {
@@ -347,16 +358,27 @@
 	for _, w := range v.looks[i].words {
 		v.vs[from].told[w.Group] = told{w.Revision, w.Quiet}
 	}
+	if v.leased(v.looks[i]) {
+		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
+	}
+}
+
+// leased takes the lease that a look gives, if a majority returned it. A voter
+// that holds a newer routing table than this process works by does not count:
+// so nobody has a lease under a table that is older than one a majority vouched
+// for (design 15.3).
+func (v *View) leased(l look) bool {
 	by := map[string][]*schema.Standing{}
-	for o := range v.looks[i].by {
-		if x := v.vs[o]; x != nil && x.formed {
+	for o := range l.by {
+		if x := v.vs[o]; x != nil && x.formed && x.cells[TableKey].GetValue().GetRevision() <= v.chosen[TableKey].Revision {
 			by[o] = x.standings
 		}
 	}
-	if len(ballots.Counted(by)) > len(v.voters)/2 {
-		v.leaseUntil = max(v.leaseUntil, v.looks[i].at+LeaseUs)
-		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
+	if len(ballots.Counted(by)) <= len(v.voters)/2 {
+		return false
 	}
+	v.leaseUntil = max(v.leaseUntil, l.at+LeaseUs)
+	return true
 }
 
 // Instances are the databases announced, in order of their identities; those
@@ -412,7 +434,7 @@
 	for k, c := range v.chosen {
 		if g, ok := strings.CutPrefix(k, LeaderPrefix); ok {
 			l := Leadership(c)
-			m[g] = ports.Leadership{Revision: c.Revision, Term: l.Term, Primary: l.Primary, Address: l.Address, Phase: ports.Phase(l.Phase), ExpectUs: l.ExpectUs}
+			m[g] = ports.Leadership{Revision: c.Revision, Term: l.Term, Primary: l.Primary, Address: l.Address, Phase: ports.Phase(l.Phase), ExpectUs: l.ExpectUs, Table: l.Table}
 		}
 	}
 	return m
