Moves: the old primary steps down before another is promoted

Cause: a node that hears nothing goes on with single writes at a primary that is still there; a late order of the platform promoted one that had stepped down; a follower that bounced a hold never told its term, so the group stood still; a return to a look that left words out for an earlier run counted them as told. Change: a primary that answers steps down before the order; a move begins four seconds after the group's last change; a hold that was bounced is followed by a status; words count as told by the run that heard them.

--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -124,6 +124,7 @@
 	tidyFor       = 8_000_000
 	goneGrace     = 300_000
 	levelWait     = 1_000_000 // longest that a move waits for the database at its site before it seals; afterwards twice that
+	restFor       = 4_000_000 // between a change and a move: the platform may carry out an order of the change late
 	behindMost    = 400       // commits that a follower may lack as a planned switch begins
 )
 
@@ -399,6 +400,11 @@
 	if g.level {
 		return
 	}
+	if in.State.Old != "" && now-g.since < restFor {
+		g.uneven = "the group changed its primary just now"
+		g.wake(g.since + restFor)
+		return
+	}
 	g.uneven = "no database is announced there"
 	ps := g.m[p.ID]
 	for _, i := range in.Instances {
@@ -629,7 +635,11 @@
 			continue
 		}
 		missing = append(missing, i)
-		g.ask(now, i, ports.Hold, t, holdEvery)
+		kind := ports.Hold
+		if s.fails%2 == 1 {
+			kind = ports.Status // it bounces a hold at a term that is none above its own: learn that
+		}
+		g.ask(now, i, kind, t, holdEvery)
 	}
 	for _, id := range in.Members {
 		if _, here := find(in, id); !here && id != in.State.Old {
@@ -799,6 +809,9 @@
 				return
 			}
 		}
+		if !g.stepped(now, in) {
+			return
+		}
 		g.asked, g.bounced = now, false
 		g.calls++
 		g.fx = append(g.fx, Promote{ID: t.ID, Owner: in.Self, Fence: in.State.Fence})
@@ -813,6 +826,23 @@
 	g.wake(g.asked + promoteEvery)
 }
 
+// stepped says that the old primary leads no more, or does not answer. One that
+// answers steps down before another is promoted: a node that heard nothing may
+// go on with single writes there, and a follower that is no longer held would
+// have them acknowledged.
+func (g *Group) stepped(now int64, in Input) bool {
+	o, ok := find(in, in.State.Old)
+	if !ok || g.asked > 0 || now-g.since > targetGone {
+		return true
+	}
+	s := g.m[o.ID]
+	if s.err > 0 || s.known && s.at > g.since && !s.status.Primary {
+		return true
+	}
+	g.ask(now, o, ports.StepDown, g.holdTerm(in), holdEvery)
+	return false
+}
+
 // again chooses anew.
 func (g *Group) again(now int64, in Input, why string) {
 	n := next(in, ports.PhaseSealing, why)
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -63,8 +63,11 @@
 	at     int64
 	by     map[string]bool
 	words  []*schema.GroupWord
+	lives  map[string]uint64 // of each voter, the run whose hearing its words rest on; allWords: on none
 }
 
+const allWords = math.MaxUint64
+
 // Chosen is an agreed value.
 type Chosen struct {
 	Revision uint64
@@ -186,7 +189,7 @@
 	}
 	v.number++
 	rep := r()
-	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}, words: rep.Words})
+	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}, words: rep.Words, lives: map[string]uint64{}})
 	if len(v.looks) > keptLooks {
 		v.looks = slices.Clone(v.looks[1:])
 	}
@@ -194,6 +197,10 @@
 	body := v.bodyFrom()
 	for _, o := range v.order() {
 		x := v.vs[o]
+		l := &v.looks[len(v.looks)-1]
+		if l.lives[o] = x.life; len(x.told) == 0 {
+			l.lives[o] = allWords
+		}
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
 			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: x.news(rep.Words),
@@ -352,11 +359,15 @@
 		return
 	}
 	v.looks[i].by[from] = true
-	if x := v.vs[from]; x.told == nil {
+	x := v.vs[from]
+	if x.told == nil {
 		x.told = map[string]told{}
 	}
-	for _, w := range v.looks[i].words {
-		v.vs[from].told[w.Group] = told{w.Revision, w.Quiet}
+	if l := v.looks[i].lives[from]; l == allWords || l == x.life {
+		// Else it left words out that an earlier run of the voter had heard.
+		for _, w := range v.looks[i].words {
+			x.told[w.Group] = told{w.Revision, w.Quiet}
+		}
 	}
 	if v.leased(v.looks[i]) {
 		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
