--- a/cmd/stoneford/fleet.go
+++ b/cmd/stoneford/fleet.go
@@ -25,7 +25,7 @@
 	states := func(rs []fleetstate.Reply) any {
 		return lo.FilterMap(rs, func(r fleetstate.Reply, _ int) (fleetstate.State, bool) { return r.State, r.Err == nil })
 	}
-	return &cli.Command{Name: "fleet", Usage: "ask processes on a platform of databases that announce themselves (docs/platform.md)", Commands: []*cli.Command{
+	return &cli.Command{Name: "fleet", Usage: "ask processes on a platform of databases that announce themselves (docs/platform.md)", Commands: append([]*cli.Command{
 		one("status", "each process asked: voters, registers, routing table, sessions", false, func(_ context.Context, rs []fleetstate.Reply) (any, func() error, error) {
 			return states(rs), func() error { return fleetstate.WriteStatus(os.Stdout, rs) }, nil
 		}),
@@ -45,7 +45,7 @@
 			}
 			return s.Table, func() error { return fleetstate.WriteTable(os.Stdout, s) }, err
 		}),
-	}}
+	}, moveCommands(at)...)}
 }
 
 // nodes asks those that the first control process named heard of.
--- /dev/null
+++ b/cmd/stoneford/moves.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"stoneford/coordinator"
+	"stoneford/result"
+)
+
+const movesTime = 8 * time.Second
+
+// moveCommands move groups between sites (docs/moves.md).
+func moveCommands(at func() []cli.Flag) []*cli.Command {
+	return []*cli.Command{
+		{Name: "move", Usage: "have a group's primary serve at a site, a zone or a region", ArgsUsage: "GROUP SITE", Flags: at(),
+			Action: func(ctx context.Context, c *cli.Command) error {
+				if c.Args().Len() != 2 {
+					return errors.New("a group and a site are to be named")
+				}
+				r, err := askMoves(ctx, c, http.MethodPost, "", coordinator.MoveAsked{Group: c.Args().Get(0), Site: c.Args().Get(1)})
+				return showMove(c, r, err, "staged")
+			}},
+		{Name: "moves", Usage: "where groups are placed, and how far their moves have come", Flags: at(), Action: moves},
+		{Name: "cancel-move", Usage: "take a move back that is staged", ArgsUsage: "GROUP", Flags: at(),
+			Action: func(ctx context.Context, c *cli.Command) error {
+				if c.Args().Len() != 1 {
+					return errors.New("a group is to be named")
+				}
+				r, err := askMoves(ctx, c, http.MethodDelete, "/"+url.PathEscape(c.Args().First()), nil)
+				return showMove(c, r, err, "taken back")
+			}},
+	}
+}
+
+// askMoves asks the processes named in turn until one replies. A change goes to
+// the next only where the one before was never reached, or is no control process.
+func askMoves(ctx context.Context, c *cli.Command, method, path string, in any) (coordinator.MoveReply, error) {
+	var all []error
+	for _, a := range lo.Compact(strings.Split(c.String("at"), ",")) {
+		r, again, err := askMove(ctx, a, method, path, in)
+		if err == nil {
+			return r, nil
+		}
+		all = append(all, fmt.Errorf("%s: %w", a, err))
+		if !again {
+			return r, coded{code: result.ChangeUncertain, text: errors.Join(all...).Error()}
+		}
+	}
+	return coordinator.MoveReply{}, errors.Join(append(all, errors.New("no control process named replied"))...)
+}
+
+func askMove(ctx context.Context, at, method, path string, in any) (r coordinator.MoveReply, again bool, err error) {
+	ctx, stop := context.WithTimeout(ctx, movesTime)
+	defer stop()
+	var body io.Reader = http.NoBody
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return r, false, err
+		}
+		body = bytes.NewReader(b)
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+at+coordinator.MovesPath+path, body)
+	if err != nil {
+		return r, false, err
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		var op *net.OpError
+		return r, method == http.MethodGet || errors.As(err, &op) && op.Op == "dial", err
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode == http.StatusNotFound && rs.Header.Get("Content-Type") != "application/json" {
+		return r, true, errors.New("this is no control process")
+	}
+	return r, method == http.MethodGet, json.NewDecoder(rs.Body).Decode(&r)
+}
+
+func showMove(c *cli.Command, r coordinator.MoveReply, err error, done string) error {
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		if err := printJSON(r); err != nil {
+			return err
+		}
+	} else if r.Code == result.OK {
+		fmt.Printf("%s; table %d\n", done, r.Table)
+	}
+	if r.Code != result.OK {
+		return coded{code: r.Code, text: r.Text + ": " + r.Problem}
+	}
+	return nil
+}
+
+func moves(ctx context.Context, c *cli.Command) error {
+	r, err := askMoves(ctx, c, http.MethodGet, "", nil)
+	if err != nil {
+		return err
+	}
+	if r.Code != result.OK {
+		return coded{code: r.Code, text: r.Text}
+	}
+	if c.Bool("json") {
+		return printJSON(r.Moves)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "GROUP\tSITE\tPRIMARY\tAT\tMOVE\tFROM\tTO\tTABLE\tCAUSE OR WHAT IT WAITS FOR\tBEHIND")
+	for _, m := range r.Moves {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", m.Group, m.Site, m.Primary, m.Zone, m.Phase, m.From, m.To, m.Table,
+			m.Cause+m.Waits, strings.Join(m.Behind, ", "))
+	}
+	return w.Flush()
+}
--- a/standin/site-move/main.go
+++ b/standin/site-move/main.go
@@ -43,7 +43,7 @@
 	With       string `json:"with,omitempty"`
 	Table      uint64 `json:"table"`
 	Term       uint64 `json:"term"`
-	StagedMs   int64  `json:"stagedMs"`
+	StagedMs   int64  `json:"stagedMs"` // from the asking on, as the next two
 	AgreedMs   int64  `json:"agreedMs"`
 	SwitchedMs int64  `json:"switchedMs"`
 	OutageMs   int64  `json:"outageMs"` // longest gap between acknowledged confirmations
--- a/standin/site-move/run.go
+++ b/standin/site-move/run.go
@@ -310,6 +310,7 @@
 	}); err != nil {
 		return m, err
 	}
+	m.StagedMs = time.Since(began).Milliseconds()
 	if i == 2 {
 		m.With = "control-2 killed"
 		c := w.controls[1]
@@ -323,8 +324,6 @@
 		}
 		ms := time.Since(began).Milliseconds()
 		switch r.Moves[0].Phase {
-		case "staged":
-			m.StagedMs = max(m.StagedMs, 1)
 		case "agreed":
 			if m.AgreedMs == 0 {
 				m.AgreedMs = ms
@@ -344,7 +343,6 @@
 	if m.AgreedMs == 0 {
 		m.AgreedMs = m.SwitchedMs
 	}
-	m.StagedMs = m.AgreedMs // how long it stayed staged
 	w.s.mu.Lock()
 	m.Term = w.s.terms
 	at := ""
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -305,8 +305,13 @@
 		clear(g.tidied)
 		if ports.Phase(in.State.GetPhase()) == ports.PhaseOpen {
 			g.begun = 0
-		} else if g.begun == 0 {
-			g.begun = now
+		} else {
+			if g.begun == 0 {
+				g.begun = now
+			}
+			for _, s := range g.m {
+				s.next = 0 // what was asked at leisure before is urgent now
+			}
 		}
 	}
 	switch {
