--- a/standin/scale-run/scale/control.go
+++ b/standin/scale-run/scale/control.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"stoneford/ballots"
 	"stoneford/cleanup"
 	"stoneford/coordinator"
 	"stoneford/links"
@@ -23,6 +22,7 @@
 const (
 	lineLength = 4096
 	mostAtOnce = 128
+	jobLine    = 256
 )
 
 // Control is a control process: the core, the voter's log and the links of the
@@ -36,6 +36,7 @@
 	store   *voterlog.Log
 	links   *links.Links
 	in      chan any
+	jobs    chan job
 	ctx     context.Context
 	ids     uint64
 	waits   map[uint64]func(any)
@@ -53,12 +54,12 @@
 
 // NewControl makes one.
 func NewControl(b ports.Boot, a Asker) *Control {
-	return &Control{boot: b, ask: a, in: make(chan any, lineLength), waits: map[uint64]func(any){}}
+	return &Control{boot: b, ask: a, in: make(chan any, lineLength), jobs: make(chan job, jobLine), waits: map[uint64]func(any){}}
 }
 
-func (c *Control) restore(run uint64) error {
-	var nonce [4]byte
-	if _, err := rand.Read(nonce[:]); err != nil {
+func (c *Control) restore() error {
+	var r [12]byte
+	if _, err := rand.Read(r[:]); err != nil {
 		return err
 	}
 	var es []*schema.VoterLog
@@ -66,23 +67,49 @@
 	if c.store, err = voterlog.Open(filepath.Join(c.boot.DataFolder, "voter"), func(l *schema.VoterLog) { es = append(es, l) }); err != nil {
 		return err
 	}
-	v := ballots.NewVoter(c.boot.ControlNode(), c.boot.SeedVoters(), binary.LittleEndian.Uint32(nonce[:]))
-	for _, l := range es {
-		v.Restore(l)
-	}
-	c.core = coordinator.NewCore(c.boot, v, c.boot.SeedVoters(), run)
+	c.core = coordinator.Restore(c.boot, es, binary.LittleEndian.Uint32(r[:]), binary.LittleEndian.Uint64(r[4:])|1)
 	return nil
 }
 
+// job is entries for the disk, and the mark that says that they are there.
+type job struct {
+	es   []*schema.VoterLog
+	mark uint64
+}
+
+// write has the disk to itself, and writes together what came while it did.
+func (c *Control) write(jobs <-chan job) error {
+	for j := range jobs {
+		for more := true; more; {
+			select {
+			case k, ok := <-jobs:
+				if more = ok; ok {
+					j = job{append(j.es, k.es...), k.mark}
+				}
+			default:
+				more = false
+			}
+		}
+		if err := c.store.Write(j.es, nil); err != nil {
+			return err
+		}
+		c.logged.Add(int64(len(j.es)))
+		c.post(coordinator.Synced{Mark: j.mark})
+	}
+	return c.store.Close()
+}
+
 // Run serves until the context ends; up is closed once it does.
 func (c *Control) Run(ctx context.Context, up chan<- struct{}) (err error) {
 	var cl cleanup.Stack
 	defer func() { err = errors.Join(err, cl.Run()) }()
-	if err := c.restore(uint64(time.Now().UnixMicro())); err != nil {
+	if err := c.restore(); err != nil {
 		return err
 	}
-	cl.Push(c.store.Close)
 	c.ctx = ctx
+	wrote := make(chan error, 1)
+	go func() { wrote <- c.write(c.jobs) }()
+	cl.Push(func() error { close(c.jobs); return <-wrote })
 	self := c.boot.ControlNode()
 	c.links = links.New(ctx, self, links.Local(self), func(e *schema.Envelope) {
 		c.Traffic.Came(e)
@@ -108,6 +135,9 @@
 		select {
 		case err := <-failed:
 			return err
+		case err := <-wrote:
+			wrote <- err
+			return err
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
@@ -122,9 +152,7 @@
 				more = false
 			}
 		}
-		if err := c.step(evs); err != nil {
-			return err
-		}
+		c.step(evs)
 		t.Reset(time.Duration(max(c.core.Due()-NowUs(), 0)) * time.Microsecond)
 	}
 }
@@ -141,16 +169,13 @@
 	return evs
 }
 
-func (c *Control) step(evs []any) error {
+func (c *Control) step(evs []any) {
 	began := time.Now()
 	fx := c.core.Step(NowUs(), evs...)
 	c.steps.Add(1)
 	c.stepNs.Add(int64(time.Since(began)))
 	if len(fx.Log) > 0 {
-		if err := c.store.Write(fx.Log, c.core.Snapshot); err != nil {
-			return err
-		}
-		c.logged.Add(int64(len(fx.Log)))
+		c.jobs <- job{fx.Log, fx.Mark}
 	}
 	for _, s := range fx.Send {
 		c.Traffic.Left(s.Env)
@@ -173,7 +198,6 @@
 			}()
 		}
 	}
-	return nil
 }
 
 func (c *Control) question(d coordinator.Ask) {
--- a/standin/scale-run/scale/shape.go
+++ b/standin/scale-run/scale/shape.go
@@ -36,7 +36,7 @@
 
 // Boot is what a process of the run is told at its start.
 func Boot(name, ip string, i, controls int, folder string) ports.Boot {
-	b := ports.Boot{Name: name, Zone: Zone(i), Region: Region(i), IP: ip, PortFirst: Port, PortLast: Port + 20, Bootstrap: true,
+	b := ports.Boot{Name: name, Zone: Zone(i), Region: Region(i), IP: ip, PortFirst: Port, PortLast: Port + 20, Bootstrap: true, QuorumMember: true,
 		DataFolder: folder, BeatUs: 1_200_000, Front: fmt.Sprintf("%s:%d", ip, Port+12), Ready: fmt.Sprintf("%s:%d", ip, Port+13), FDs: 15_000}
 	for c := range controls {
 		b.Seeds = append(b.Seeds, fmt.Sprintf("%s:%d", ControlIP(c), Port+14))
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -25,6 +25,7 @@
 	TableKey       = "routes"
 	LeaderPrefix   = "leader/"
 	MembersPrefix  = "members/"
+	MovePrefix     = "move/"
 	DatabasePrefix = "database/"
 )
 
@@ -80,6 +81,9 @@
 	Sightings []*schema.Sighting
 	Words     []*schema.GroupWord
 	Leaving   bool
+	Table     uint64   // register revision of the routing table that the process works by
+	All       uint64   // of a voter: see schema.Look
+	Behind    []string // as well
 }
 
 // View is one process's knowledge.
@@ -225,7 +229,8 @@
 		}
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
-			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws, Counts: v.counts}}}})
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws, Counts: v.counts,
+			Table: rep.Table, All: rep.All, Behind: rep.Behind}}}})
 	}
 	return out
 }
@@ -312,6 +317,12 @@
 	if m.Number > 0 {
 		v.returned(from, m.Number)
 	}
+	if v.changed[TableKey] {
+		// What did not count before does so now.
+		for _, l := range v.looks {
+			v.leased(l)
+		}
+	}
 }
 
 func (v *View) cell(x *voter, c *schema.Cell) {
@@ -408,16 +419,27 @@
 		x.told[w.Group] = told{w.Revision, w.Quiet}
 	}
 	delete(x.sent, n)
+	if v.leased(v.looks[i]) {
+		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
+	}
+}
+
+// leased takes the lease that a look gives, if a majority returned it. A voter
+// that holds a newer routing table than this process works by does not count:
+// so nobody has a lease under a table that is older than one a majority vouched
+// for (design 15.3).
+func (v *View) leased(l look) bool {
 	by := map[string][]*schema.Standing{}
-	for o := range v.looks[i].by {
-		if x := v.vs[o]; x != nil && x.formed {
+	for o := range l.by {
+		if x := v.vs[o]; x != nil && x.formed && x.cells[TableKey].GetValue().GetRevision() <= v.chosen[TableKey].Revision {
 			by[o] = x.standings
 		}
 	}
-	if len(ballots.Counted(by)) > len(v.voters)/2 {
-		v.leaseUntil = max(v.leaseUntil, v.looks[i].at+LeaseUs)
-		v.next = max(v.next, min(v.looks[i].at+lookEvery, v.last+lookEvery))
+	if len(ballots.Counted(by)) <= len(v.voters)/2 {
+		return false
 	}
+	v.leaseUntil = max(v.leaseUntil, l.at+LeaseUs)
+	return true
 }
 
 // Instances are the databases announced, in order of their identities; those
@@ -479,7 +501,7 @@
 	for k, c := range v.chosen {
 		if g, ok := strings.CutPrefix(k, LeaderPrefix); ok {
 			l := Leadership(c)
-			m[g] = ports.Leadership{Revision: c.Revision, Term: l.Term, Primary: l.Primary, Address: l.Address, Phase: ports.Phase(l.Phase), ExpectUs: l.ExpectUs}
+			m[g] = ports.Leadership{Revision: c.Revision, Term: l.Term, Primary: l.Primary, Address: l.Address, Phase: ports.Phase(l.Phase), ExpectUs: l.ExpectUs, Table: l.Table}
 		}
 	}
 	return m
