--- a/standin/scale-run/fleet.go
+++ b/standin/scale-run/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"math"
 	"net"
@@ -79,6 +80,29 @@
 	return nil
 }
 
+// tables prints the figures of all runs that a file holds.
+func tables(o options) error {
+	f, err := os.Open(o.out)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	var all []sample
+	for d := json.NewDecoder(f); ; {
+		var s sample
+		if err := d.Decode(&s); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	for _, k := range o.controls {
+		table(all, k, o.sizes)
+	}
+	return nil
+}
+
 func keep(path string, s sample) error {
 	if path == "" {
 		return nil
@@ -551,7 +575,7 @@
 
 // change changes one route at a time, at each control process in turn.
 func (w *world) change(ctx context.Context) error {
-	var last, half, agree, kb []float64
+	var last, half, agree, whole, kb []float64
 	for i := range w.o.changes {
 		r := scale.Route(i%w.shape.Groups, 0, ports.Current)
 		r.ExpiryUs += int64(i+1) * 1000
@@ -582,6 +606,7 @@
 		}
 		agree = append(agree, float64(acked-began)/1e3)
 		last = append(last, float64(m.Last-acked)/1e3)
+		whole = append(whole, float64(m.Last-began)/1e3)
 		half = append(half, float64(m.Median-acked)/1e3)
 		kb = append(kb, float64(scale.Since(after.In, before.In)["news"].Bytes)/1e3/w.hollow())
 		settle(ctx, 300*time.Millisecond)
@@ -591,6 +616,7 @@
 		w.set("change of the table: ms from there until in force on half", scale.Median(half))
 		w.set("change of the table: ms until in force on all, median", scale.Median(last))
 		w.set("change of the table: ms until in force on all, greatest", slices.Max(last))
+		w.set("change of the table: ms from call until in force on all, greatest", slices.Max(whole))
 		w.set("change of the table: KB in a node", scale.Median(kb))
 	}
 	return nil
--- a/standin/scale-run/main.go
+++ b/standin/scale-run/main.go
@@ -46,7 +46,7 @@
 func main() {
 	var o options
 	sizes, controls := "", ""
-	flag.StringVar(&o.part, "part", "fleet", "fleet, data (statements and sessions), or freshness")
+	flag.StringVar(&o.part, "part", "fleet", "fleet, data (statements and sessions), freshness, or table (of what -out holds)")
 	flag.StringVar(&sizes, "sizes", "10,40,160,690", "numbers of pool nodes")
 	flag.StringVar(&controls, "controls", "3", "numbers of control processes")
 	flag.IntVar(&o.seconds, "seconds", 6, "how long the steady state is measured")
@@ -103,6 +103,8 @@
 			return err
 		}
 		return show(f)
+	case o.part == "table":
+		return tables(o)
 	case o.part == "freshness":
 		return show(freshnessState())
 	}
