--- a/fleetsimulation/moves.go
+++ b/fleetsimulation/moves.go
@@ -89,6 +89,9 @@
 	if !st.left || st.route.kind != ports.Current && !st.writes && st.kind != ports.Commit {
 		return
 	}
+	if st.kind == ports.Commit && !st.try.wrote(st.tx) {
+		return // the end of a transaction that only read, each read held against this by itself
+	}
 	for _, fl := range m.floors[st.route.group] {
 		if fl.stayed {
 			continue
