--- a/fleetsimulation/truth.go
+++ b/fleetsimulation/truth.go
@@ -42,7 +42,7 @@
 	conn    *dbConn
 	left    bool // some node sent it to a database
 
-	leftUs    int64  // when, and by which routing table's register revision
+	leftUs    int64 // when, and by which routing table's register revision
 	leftTable uint64
 }
 
