--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -174,50 +174,51 @@
 
 // Core is one control process.
 type Core struct {
-	self     string
-	run      uint64
-	boot     ports.Boot
-	voter    *ballots.Voter
-	proposer *ballots.Proposer
-	view     *voterview.View
-	insts    *records.Store
-	seqs     map[string]uint64 // key of a cell or record to the number of its newest change
-	seq      uint64
-	follow   map[string]*follower
-	groups   map[string]*group
-	table    ports.RoutingTable
-	tableRev uint64
-	pending  map[string]func(int64, ballots.Outcome)
-	catching map[string]int64
-	acks     map[uint64]*ack
-	beats    map[string]int // announcements of a database since one was passed on
-	names    uint64
-	number   uint64
-	formed   bool
-	leaving  bool
-	began    int64
-	lastStep int64
-	nextCmp  int64
-	nextGone int64
-	nextAll  int64
-	turn     int
-	changed  bool // something that nodes are to be told
-	stood    []*schema.Standing
-	stoodSeq uint64
-	rostered bool
-	all      map[string]uint64 // see schema.Look, of each voter
-	allTold  uint64
-	due      int64
-	own      []*schema.Envelope
-	fx       Effects
-	mark     uint64 // of the newest entries handed out
-	held     []held
-	cells    map[string]*schema.Cell // what this voter accepted, as far as it is on disk
-	ill      bool                    // the disk refuses
-	mend     uint64                  // mark of the snapshot that ends that
-	diskAt   int64                   // when it is tried again, 0 while it is tried
-	founding *founding               // nil where the voters are known
-	voters   int                     // how many were told of
+	self      string
+	run       uint64
+	boot      ports.Boot
+	voter     *ballots.Voter
+	proposer  *ballots.Proposer
+	view      *voterview.View
+	insts     *records.Store
+	seqs      map[string]uint64 // key of a cell or record to the number of its newest change
+	seq       uint64
+	follow    map[string]*follower
+	groups    map[string]*group
+	table     ports.RoutingTable
+	tableRev  uint64
+	pending   map[string]func(int64, ballots.Outcome)
+	catching  map[string]int64
+	acks      map[uint64]*ack
+	beats     map[string]int // announcements of a database since one was passed on
+	names     uint64
+	number    uint64
+	formed    bool
+	leaving   bool
+	began     int64
+	lastStep  int64
+	nextCmp   int64
+	nextGone  int64
+	nextAll   int64
+	nextCatch int64 // when registers in doubt are looked for again
+	turn      int
+	changed   bool // something that nodes are to be told
+	stood     []*schema.Standing
+	stoodSeq  uint64
+	rostered  bool
+	all       map[string]uint64 // see schema.Look, of each voter
+	allTold   uint64
+	due       int64
+	own       []*schema.Envelope
+	fx        Effects
+	mark      uint64 // of the newest entries handed out
+	held      []held
+	cells     map[string]*schema.Cell // what this voter accepted, as far as it is on disk
+	ill       bool                    // the disk refuses
+	mend      uint64                  // mark of the snapshot that ends that
+	diskAt    int64                   // when it is tried again, 0 while it is tried
+	founding  *founding               // nil where the voters are known
+	voters    int                     // how many were told of
 }
 
 // NewCore makes a control process on top of a voter that was restored, or is
@@ -866,9 +867,10 @@
 // catchUp settles registers of which a voter holds more than is known as agreed:
 // whoever made the revision may have died before a majority had it.
 func (c *Core) catchUp(now int64) {
-	if !c.formed {
+	if !c.formed || now < c.nextCatch {
 		return
 	}
+	c.nextCatch = now + catchUpEvery/2
 	for _, k := range c.voter.Keys() {
 		switch {
 		case !c.view.Doubt(k):
@@ -1051,7 +1053,7 @@
 	}
 	for k, at := range c.catching {
 		if c.view.Doubt(k) {
-			d = min(d, at)
+			d = min(d, max(at, c.nextCatch))
 		}
 	}
 	for _, g := range c.groups {
