--- a/standin/scale-run/data.go
+++ b/standin/scale-run/data.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	_ "embed"
 	"errors"
 	"fmt"
 	"net"
@@ -15,16 +14,11 @@
 	"time"
 
 	"stoneford/freshness"
+	"stoneford/platform"
 	"stoneford/standin/scale-run/scale"
 )
 
-// The wire's lines stand in a file of their own: no Go source but platform/
-// knows its words.
-//
-//go:embed wire.txt
-var wireText string
-
-var wire = strings.Split(strings.TrimSpace(wireText), "\n")
+var wire = platform.Sample
 
 var (
 	connectWord  = wire[0]
