--- a/sessiontable/lines.go
+++ b/sessiontable/lines.go
@@ -101,6 +101,9 @@
 
 // dispatch starts what it can of an instance's line.
 func (t *Table) dispatch(in *instance) {
+	if t.drained(in) {
+		t.replaceLine(in, func(a *ask) bool { return !a.goesOn() })
+	}
 	for in.line.len() > 0 && !in.out {
 		if in.failing > 0 {
 			t.scatter(in)
@@ -341,6 +344,7 @@
 	if a.shape != nil {
 		op.Name = a.shape.name
 	}
+	a.left = !alone
 	if !alone {
 		ops = append(ops, op)
 		c.pend = append(c.pend, pending{mainOp, a})
@@ -375,6 +379,7 @@
 	if a.shape != nil {
 		op.Name = a.shape.name
 	}
+	a.left = true
 	c.pend = append(c.pend, pending{mainOp, a})
 	t.emit(Send{Conn: c.id, Ops: []ports.Op{op}})
 }
