--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -139,6 +139,15 @@
 	counts   bool // a control process that counts
 	sights   []*schema.Sighting
 	words    map[string]*schema.GroupWord
+	tables   map[uint64]tableSeen // of each run
+	behind   []string
+}
+
+// tableSeen is the newest routing table that a run of a process said it works
+// by, and when it looked last.
+type tableSeen struct {
+	at       int64
+	revision uint64
 }
 
 type group struct {
@@ -150,6 +159,7 @@
 	told    uint64                    // newest cleared that the others were told
 	insts   map[string]ports.Instance // announced, and those that are gone
 	order   []string                  // control processes, first the one that carries changes out
+	putting int64                     // when a change of its move was put to the vote, 0 for none
 	dirty   bool
 }
 
@@ -164,48 +174,51 @@
 
 // Core is one control process.
 type Core struct {
-	self     string
-	run      uint64
-	boot     ports.Boot
-	voter    *ballots.Voter
-	proposer *ballots.Proposer
-	view     *voterview.View
-	insts    *records.Store
-	seqs     map[string]uint64 // key of a cell or record to the number of its newest change
-	seq      uint64
-	follow   map[string]*follower
-	groups   map[string]*group
-	table    ports.RoutingTable
-	tableRev uint64
-	pending  map[string]func(int64, ballots.Outcome)
-	catching map[string]int64
-	acks     map[uint64]*ack
-	beats    map[string]int // announcements of a database since one was passed on
-	names    uint64
-	number   uint64
-	formed   bool
-	leaving  bool
-	began    int64
-	lastStep int64
-	nextCmp  int64
-	nextGone int64
-	nextAll  int64
-	turn     int
-	changed  bool // something that nodes are to be told
-	stood    []*schema.Standing
-	stoodSeq uint64
-	rostered bool
-	due      int64
-	own      []*schema.Envelope
-	fx       Effects
-	mark     uint64 // of the newest entries handed out
-	held     []held
-	cells    map[string]*schema.Cell // what this voter accepted, as far as it is on disk
-	ill      bool                    // the disk refuses
-	mend     uint64                  // mark of the snapshot that ends that
-	diskAt   int64                   // when it is tried again, 0 while it is tried
-	founding *founding               // nil where the voters are known
-	voters   int                     // how many were told of
+	self      string
+	run       uint64
+	boot      ports.Boot
+	voter     *ballots.Voter
+	proposer  *ballots.Proposer
+	view      *voterview.View
+	insts     *records.Store
+	seqs      map[string]uint64 // key of a cell or record to the number of its newest change
+	seq       uint64
+	follow    map[string]*follower
+	groups    map[string]*group
+	table     ports.RoutingTable
+	tableRev  uint64
+	pending   map[string]func(int64, ballots.Outcome)
+	catching  map[string]int64
+	acks      map[uint64]*ack
+	beats     map[string]int // announcements of a database since one was passed on
+	names     uint64
+	number    uint64
+	formed    bool
+	leaving   bool
+	began     int64
+	lastStep  int64
+	nextCmp   int64
+	nextGone  int64
+	nextAll   int64
+	nextCatch int64 // when registers in doubt are looked for again
+	turn      int
+	changed   bool // something that nodes are to be told
+	stood     []*schema.Standing
+	stoodSeq  uint64
+	rostered  bool
+	all       map[string]uint64 // see schema.Look, of each voter
+	allTold   uint64
+	due       int64
+	own       []*schema.Envelope
+	fx        Effects
+	mark      uint64 // of the newest entries handed out
+	held      []held
+	cells     map[string]*schema.Cell // what this voter accepted, as far as it is on disk
+	ill       bool                    // the disk refuses
+	mend      uint64                  // mark of the snapshot that ends that
+	diskAt    int64                   // when it is tried again, 0 while it is tried
+	founding  *founding               // nil where the voters are known
+	voters    int                     // how many were told of
 }
 
 // NewCore makes a control process on top of a voter that was restored, or is
@@ -220,7 +233,7 @@
 	c := &Core{self: self, run: run, boot: b, voter: v, proposer: ballots.NewProposer(self, fmt.Sprint(run), voters),
 		view: voterview.New(self, seen, b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}}
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
@@ -315,6 +328,10 @@
 		c.announce(now, e)
 	case Change:
 		c.change(now, e)
+	case Move:
+		c.moveTo(now, e)
+	case CancelMove:
+		c.cancelMove(now, e)
 	case Fetch:
 		c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
 			t, err := routingtable.Decode(o.Value.GetData())
@@ -544,7 +561,11 @@
 func (c *Core) look(now int64, from string, m *schema.Look) {
 	f := c.follow[from]
 	if f == nil || f.run != m.Run {
-		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run}
+		old := f
+		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run, tables: map[uint64]tableSeen{}}
+		if old != nil {
+			f.tables = old.tables // an earlier run's look may come late, or its lease be in use yet
+		}
 		c.follow[from] = f
 	}
 	since := m.Seq
@@ -559,6 +580,7 @@
 		}
 	}
 	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
+	c.lookedBy(now, from, f, m)
 	for _, w := range m.Groups {
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
@@ -636,13 +658,14 @@
 				c.table, c.tableRev = t, v.Revision
 				c.say(result.RevisionApplied, "routes revision %d, the operators' %d", v.Revision, t.Revision)
 				for _, g := range t.Groups {
-					c.group(g.Name)
+					c.group(g.Name).dirty = true
 				}
+				c.view.Want() // a move may wait to hear that this process works by it
 			}
 		}
 	}
 	for _, k := range ks {
-		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix} {
+		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix, voterview.MovePrefix} {
 			if n, ok := strings.CutPrefix(k, p); ok {
 				c.group(n).dirty = true
 			}
@@ -844,9 +867,10 @@
 // catchUp settles registers of which a voter holds more than is known as agreed:
 // whoever made the revision may have died before a majority had it.
 func (c *Core) catchUp(now int64) {
-	if !c.formed {
+	if !c.formed || now < c.nextCatch {
 		return
 	}
+	c.nextCatch = now + catchUpEvery/2
 	for _, k := range c.voter.Keys() {
 		switch {
 		case !c.view.Doubt(k):
@@ -862,7 +886,10 @@
 
 // report is what this process tells the other voters.
 func (c *Core) report() voterview.Report {
-	r := voterview.Report{Leaving: c.leaving}
+	r := voterview.Report{Leaving: c.leaving, Table: c.tableRev, All: c.allTold}
+	if c.staged() {
+		r.Behind = c.behind(c.lastStep)
+	}
 	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
 		if g := c.groups[n]; g.cleared > 0 {
 			g.told = g.cleared
@@ -904,6 +931,7 @@
 		}
 	}
 	slices.Sort(due)
+	c.sayAll(now)
 	for _, n := range due {
 		c.groupTick(now, n, c.groups[n])
 	}
@@ -931,11 +959,16 @@
 		return
 	}
 	in := switchover.Input{Group: n, Sync: c.table.Groups[i].Sync, State: l, Rev: v.Revision, Settled: !c.view.Doubt(k),
-		Acts: c.owner(now, n), Self: c.boot.Name}
+		Acts: c.owner(now, n) && c.tableRev >= l.Table, Self: c.boot.Name}
 	if in.Acts {
 		c.sum(now, n, k, g, l, &in)
+		c.wanted(n, &in)
+	}
+	fx := g.decider.Step(now, in)
+	if in.Acts {
+		c.moveTick(now, n, g, in)
 	}
-	for _, e := range g.decider.Step(now, in) {
+	for _, e := range fx {
 		switch e := e.(type) {
 		case switchover.Ask:
 			c.fx.Do = append(c.fx.Do, Ask{Group: n, Ask: e})
@@ -1008,7 +1041,7 @@
 }
 
 func (c *Core) setDue(now int64) {
-	d := min(c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll)
+	d := min(c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll, c.moveDue(c.lastStep))
 	if c.takes() {
 		d = min(d, c.voter.Due(), c.founding.due(now))
 	}
@@ -1020,7 +1053,7 @@
 	}
 	for k, at := range c.catching {
 		if c.view.Doubt(k) {
-			d = min(d, at)
+			d = min(d, max(at, c.nextCatch))
 		}
 	}
 	for _, g := range c.groups {
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -202,6 +202,9 @@
 		case stateAsked:
 			p.end(e.id, p.stateNow(e.whole))
 			evs[i] = nil
+		case movesAsked:
+			p.end(e.id, p.core.Moves(p.nowUs()))
+			evs[i] = nil
 		}
 	}
 	fx := p.core.Step(p.nowUs(), evs...)
@@ -223,6 +226,8 @@
 			p.end(d.ID, d)
 		case Fetched:
 			p.end(d.ID, d)
+		case Moved:
+			p.end(d.ID, d)
 		case Ask:
 			go p.ask(d)
 		case Promote:
@@ -304,5 +309,9 @@
 	return v.Table, ok && v.OK
 }
 
+// CutLinks breaks the process's links to others until they are mended, for
+// trials; it has to run.
+func (p *Process) CutLinks(broken bool) { p.links.Cut(broken) }
+
 // SetBoot implements ports.ControlProcess.
 func (p *Process) SetBoot(b ports.Boot) { p.post(b) }
--- a/routingtable/routingtable.go
+++ b/routingtable/routingtable.go
@@ -3,7 +3,12 @@
 package routingtable
 
 import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -22,16 +27,59 @@
 	for _, g := range t.Groups {
 		m.Groups = append(m.Groups, &schema.GroupItem{Name: g.Name, ConnLimit: int32(g.ConnLimit), Sync: int32(g.Sync), Source: g.Source})
 	}
+	for _, p := range t.Placements {
+		m.Placements = append(m.Placements, &schema.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
+	}
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	return b
+	return pack(b)
+}
+
+const (
+	packed   = 0        // first byte of a packed table: no message begins with it
+	packFrom = 1 << 10  // bytes from which a table is packed
+	most     = 64 << 20 // bytes that one may unpack to
+)
+
+// pack makes a table small: it goes through every voter's disk and to every
+// node, some of them behind 2 Mbit/s, and items repeat one another.
+func pack(b []byte) []byte {
+	if len(b) < packFrom {
+		return b
+	}
+	var o bytes.Buffer
+	o.WriteByte(packed)
+	w, err := flate.NewWriter(&o, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := w.Write(b); err != nil {
+		panic(err)
+	}
+	if err := w.Close(); err != nil {
+		panic(err)
+	}
+	return o.Bytes()
+}
+
+func unpack(b []byte) ([]byte, error) {
+	if len(b) == 0 || b[0] != packed {
+		return b, nil
+	}
+	r := flate.NewReader(bytes.NewReader(b[1:]))
+	o, err := io.ReadAll(io.LimitReader(r, most))
+	return o, errors.Join(err, r.Close())
 }
 
 // Decode reads a table; no bytes are the empty table.
 func Decode(b []byte) (ports.RoutingTable, error) {
 	m := &schema.RoutingTable{}
+	b, err := unpack(b)
+	if err != nil {
+		return ports.RoutingTable{}, err
+	}
 	if err := proto.Unmarshal(b, m); err != nil {
 		return ports.RoutingTable{}, err
 	}
@@ -43,12 +91,22 @@
 	for _, g := range m.Groups {
 		t.Groups = append(t.Groups, ports.Group{Name: g.Name, ConnLimit: int(g.ConnLimit), Sync: int(g.Sync), Source: g.Source})
 	}
+	for _, p := range m.Placements {
+		t.Placements = append(t.Placements, ports.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
+	}
 	return t, nil
 }
 
+// Place is the table with a group's placement put in.
+func Place(old ports.RoutingTable, p ports.Placement) ports.RoutingTable {
+	old.Placements = put(slices.Clone(old.Placements), []ports.Placement{p}, func(p ports.Placement) string { return p.Group })
+	slices.SortFunc(old.Placements, func(a, b ports.Placement) int { return cmp.Compare(a.Group, b.Group) })
+	return old
+}
+
 // Apply makes the table that a change leads to from old, and names every reason
 // why it is not a valid one; where there are reasons the table is not to be
-// used.
+// used. Placements stay, of groups that stay.
 func Apply(old ports.RoutingTable, c ports.TableChange) (ports.RoutingTable, []string) {
 	ps := slices.Clone(c.Problems)
 	t := ports.RoutingTable{Revision: c.Revision, Limits: old.Limits}
@@ -61,6 +119,11 @@
 	ps = append(ps, twice("group", c.Groups, func(g ports.Group) string { return g.Name })...)
 	t.Routes = put(t.Routes, c.Routes, func(r ports.Route) string { return r.Name })
 	t.Groups = put(t.Groups, c.Groups, func(g ports.Group) string { return g.Name })
+	for _, p := range old.Placements {
+		if slices.ContainsFunc(t.Groups, func(g ports.Group) bool { return g.Name == p.Group }) {
+			t.Placements = append(t.Placements, p)
+		}
+	}
 	if c.Limits != nil {
 		t.Limits = *c.Limits
 	}
