--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -164,12 +164,11 @@
 }
 
 type ack struct {
-	id     uint64
-	recs   []*schema.Record
-	by     map[string]bool // voters that have it
-	until  int64
-	again  int64
-	number uint64
+	id    uint64
+	recs  []*schema.Record
+	by    map[string]bool // voters that have it
+	until int64
+	again int64
 }
 
 // Core is one control process.
@@ -700,7 +699,7 @@
 		return
 	}
 	c.number++
-	c.acks[c.number] = &ack{id: e.ID, recs: []*schema.Record{r}, by: map[string]bool{}, number: c.number, until: now + ackExpiry, again: now + ackAgain}
+	c.acks[c.number] = &ack{id: e.ID, recs: []*schema.Record{r}, by: map[string]bool{}, until: now + ackExpiry, again: now + ackAgain}
 	c.announced(c.number, []*schema.Record{r})
 	c.acked(c.self, c.number)
 }
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -583,13 +583,11 @@
 	if well > 0 && !ill || late && stays {
 		n := next(in, ports.PhaseClosing, p.ID+" leaves")
 		n.Old = p.ID
-		g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, st(in).Term, n.Cause)
+		g.say(result.TakeoverOpened, "%s: term %d: %s", in.Group, in.State.Term, n.Cause)
 		g.put(now, in, n)
 	}
 }
 
-func st(in Input) *schema.Leadership { return in.State }
-
 // closing waits until nothing is under way at the primary.
 func (g *Group) closing(now int64, in Input) {
 	if in.moving() {
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -506,6 +505,3 @@
 	}
 	return m
 }
-
-// Never is a time that does not come.
-const Never = math.MaxInt64
