--- /dev/null
+++ b/coordinator/announcements.go
@@ -0,0 +1,128 @@
+package coordinator
+
+import (
+	"slices"
+
+	"stoneford/result"
+	"stoneford/schema"
+	"stoneford/step"
+	"stoneford/voterview"
+)
+
+type ack struct {
+	id    uint64
+	recs  []*schema.Record
+	by    map[string]bool // voters that have it
+	until int64
+	again int64
+}
+
+// announce takes a database's word. What rests on its acknowledgement, that it
+// leaves or is gone, is acknowledged once a majority of control processes has
+// it.
+func (c *Core) announce(now int64, e Announce) {
+	k := voterview.DatabasePrefix + e.Instance.ID
+	if o := c.insts.Get(k); o != nil && e.Instance.Gone {
+		// The last word names nothing but its identity.
+		was := voterview.Instance(o)
+		was.Gone, was.Call = true, max(was.Call, e.Instance.Call)
+		e.Instance = was
+	}
+	r := voterview.Record(e.Instance)
+	told := c.merge(now, []*schema.Record{r})
+	c.beats[e.Instance.ID]++
+	rests := e.Instance.Leaving || e.Instance.Gone
+	pass := told || rests || c.beats[e.Instance.ID] >= renewEvery
+	if pass {
+		c.beats[e.Instance.ID] = 0
+	}
+	if !rests {
+		if pass {
+			c.announced(0, []*schema.Record{r})
+		}
+		c.fx.Do = append(c.fx.Do, Announced{ID: e.ID, OK: true})
+		return
+	}
+	c.number++
+	c.acks[c.number] = &ack{id: e.ID, recs: []*schema.Record{r}, by: map[string]bool{}, until: now + ackExpiry, again: now + ackAgain}
+	c.announced(c.number, []*schema.Record{r})
+	c.acked(c.self, c.number)
+}
+
+func (c *Core) announced(n uint64, rs []*schema.Record) {
+	for _, o := range c.view.Voters() {
+		if o != c.self {
+			c.send(step.Send{To: o, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_Announced{Announced: &schema.Announced{Number: n, Instances: rs}}}})
+		}
+	}
+}
+
+// acked counts a voter that has an announcement; a majority of them ends it.
+func (c *Core) acked(from string, n uint64) {
+	a := c.acks[n]
+	if a == nil || !slices.Contains(c.view.Voters(), from) {
+		return
+	}
+	if a.by[from] = true; len(a.by) > len(c.view.Voters())/2 && c.known() {
+		delete(c.acks, n)
+		c.fx.Do = append(c.fx.Do, Announced{ID: a.id, OK: true})
+	}
+}
+
+// merge takes records of databases and says whether one of them said something
+// new.
+func (c *Core) merge(now int64, rs []*schema.Record) bool {
+	told := false
+	for _, r := range rs {
+		old := c.insts.Get(r.Key)
+		if len(c.insts.Put(now, r)) > 0 {
+			told = c.merged(now, r, old) || told
+		}
+	}
+	return told
+}
+
+func (c *Core) merged(now int64, r, old *schema.Record) bool {
+	if old != nil && slices.Equal(old.Data, r.Data) {
+		return false // only its stamp
+	}
+	c.bump(r.Key)
+	i := voterview.Instance(r)
+	g := c.group(i.Group)
+	g.insts[i.ID], g.dirty = i, true
+	c.say(result.InstanceSaid, "%s of %s at %s: leaves %t, leads %t, gone %t", i.ID, i.Group, i.Address, i.Leaving, i.Primary, i.Gone)
+	return true
+}
+
+func (c *Core) beatUs() int64 {
+	if c.boot.BeatUs > 0 {
+		return c.boot.BeatUs
+	}
+	return defaultBeatUs
+}
+
+// expire takes databases that were silent for long as gone, unless this process
+// may be the one that hears nothing.
+func (c *Core) expire(now int64) {
+	if now >= c.view.LeaseUntil() || now-c.began < goneFactor*c.beatUs() {
+		return
+	}
+	var old []string
+	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
+		i := voterview.Instance(r)
+		age := c.insts.AgeUs(now, r.Key)
+		switch {
+		case i.Gone && age > forgetGone:
+			old = append(old, r.Key)
+		case !i.Gone && age > goneFactor*c.beatUs():
+			i.Gone = true
+			c.merge(now, []*schema.Record{voterview.Record(i)})
+		}
+	})
+	for _, k := range old {
+		i := voterview.Instance(c.insts.Get(k))
+		delete(c.group(i.Group).insts, i.ID)
+		c.insts.Forget(k)
+		delete(c.seqs, k)
+	}
+}
--- /dev/null
+++ b/coordinator/news.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"stoneford/result"
+	"stoneford/routingtable"
+	"stoneford/schema"
+	"stoneford/step"
+	"stoneford/voterview"
+)
+
+type follower struct {
+	seq      uint64
+	at       int64
+	returned int64 // when it was last sent a return
+	kind     string
+	name     string
+	run      uint64
+	leaving  bool
+	bodies   bool
+	counts   bool // a control process that counts
+	sights   []*schema.Sighting
+	words    map[string]*schema.GroupWord
+	tables   map[uint64]tableSeen // of each run
+	behind   []string
+}
+
+// tableSeen is the newest routing table that a run of a process said it works
+// by, and when it looked last.
+type tableSeen struct {
+	at       int64
+	revision uint64
+}
+
+// look returns what changed here since the asker's last.
+func (c *Core) look(now int64, from string, m *schema.Look) {
+	f := c.follow[from]
+	if f == nil || f.run != m.Run {
+		old := f
+		f = &follower{words: map[string]*schema.GroupWord{}, run: m.Run, tables: map[uint64]tableSeen{}}
+		if old != nil {
+			f.tables = old.tables // an earlier run's look may come late, or its lease be in use yet
+		}
+		c.follow[from] = f
+	}
+	since := m.Seq
+	if m.Life != c.run {
+		since = 0
+	}
+	for _, ss := range [][]*schema.Sighting{f.sights, m.Sightings} {
+		for _, s := range ss {
+			if r := c.insts.Get(voterview.DatabasePrefix + s.Id); r != nil {
+				c.group(voterview.Instance(r).Group).dirty = true
+			}
+		}
+	}
+	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
+	c.lookedBy(now, from, f, m)
+	for _, w := range m.Groups {
+		f.words[w.Group] = w
+		c.group(w.Group).dirty = true
+	}
+	f.returned, f.counts = now, m.Counts
+	c.send(step.Send{To: from, Env: c.news(from, f, m.Number)})
+	f.seq = c.seq // what does not arrive shows in the next look
+}
+
+// news is what changed since a follower's last look.
+func (c *Core) news(to string, f *follower, number uint64) *schema.Envelope {
+	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Formed: c.formed,
+		Nodes: uint32(c.nodes()), Bodies: f.bodies}
+	if ss := c.voter.Standings(); !slices.EqualFunc(ss, c.stood, func(a, b *schema.Standing) bool { return a.Voter == b.Voter && a.Generation == b.Generation }) || c.rostered != c.formed || c.voters != len(c.voter.Voters()) {
+		c.stood, c.rostered, c.voters = ss, c.formed, len(c.voter.Voters())
+		c.seq++
+		c.stoodSeq = c.seq
+		r.Seq = c.seq
+	}
+	if f.seq < c.stoodSeq {
+		// Those who have heard it keep it.
+		r.Standings, r.Voters, r.Zone = c.stood, slices.Sorted(slices.Values(c.voter.Voters())), c.boot.Zone
+	}
+	if f.seq < c.seq {
+		for _, k := range slices.Sorted(maps.Keys(c.seqs)) {
+			if c.seqs[k] <= f.seq {
+				continue
+			}
+			if strings.HasPrefix(k, voterview.DatabasePrefix) {
+				r.Instances = append(r.Instances, c.insts.Get(k))
+			} else if d := c.cells[k]; d != nil {
+				w := &schema.Cell{Key: k, Accepted: d.Accepted, Value: &schema.Value{Revision: d.Value.Revision}}
+				if f.bodies || k != voterview.TableKey {
+					w.Value.Data = d.Value.Data
+				}
+				r.Cells = append(r.Cells, w)
+			}
+		}
+	}
+	return &schema.Envelope{From: c.self, Body: &schema.Envelope_LookReturn{LookReturn: r}}
+}
+
+// push tells all that looked lately what changed.
+func (c *Core) push(now int64) {
+	for _, a := range slices.Sorted(maps.Keys(c.follow)) {
+		f := c.follow[a]
+		if now-f.at < followFor && f.seq < c.seq {
+			c.send(step.Send{To: a, Env: c.news(a, f, 0)})
+			f.seq = c.seq
+		}
+	}
+}
+
+func (c *Core) nodes() int {
+	n := 0
+	for _, f := range c.follow {
+		if f.kind == "pool" && !f.leaving && c.lastStep-f.at < followFor {
+			n++
+		}
+	}
+	return n
+}
+
+// learned takes what the view found agreed.
+func (c *Core) learned(now int64) {
+	ks, _ := c.view.Take()
+	for _, k := range ks {
+		if k == voterview.TableKey {
+			if v, ok := c.view.Agreed(k); ok && v.Revision > c.tableRev {
+				t, err := routingtable.Decode(v.Data)
+				if err != nil {
+					c.say(result.InvalidConfiguration, "%s revision %d: %v", k, v.Revision, err)
+					continue
+				}
+				c.table, c.tableRev = t, v.Revision
+				c.say(result.RevisionApplied, "routes revision %d, the operators' %d", v.Revision, t.Revision)
+				for _, g := range t.Groups {
+					c.group(g.Name).dirty = true
+				}
+				c.view.Want() // a move may wait to hear that this process works by it
+			}
+		}
+	}
+	for _, k := range ks {
+		for _, p := range []string{voterview.LeaderPrefix, voterview.MembersPrefix, voterview.MovePrefix} {
+			if n, ok := strings.CutPrefix(k, p); ok {
+				c.group(n).dirty = true
+			}
+		}
+	}
+}
+
+// report is what this process tells the other voters.
+func (c *Core) report() voterview.Report {
+	r := voterview.Report{Leaving: c.leaving, Table: c.tableRev, All: c.allTold}
+	if c.staged() {
+		r.Behind = c.behind(c.lastStep)
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
+		if g := c.groups[n]; g.cleared > 0 {
+			g.told = g.cleared
+			r.Words = append(r.Words, &schema.GroupWord{Group: n, Revision: g.cleared, Quiet: true})
+		}
+	}
+	return r
+}
