--- a/cmd/stoneford/data.go
+++ b/cmd/stoneford/data.go
@@ -36,16 +36,17 @@
 	Entries    int            `json:"entries"`
 	TornBytes  int            `json:"torn_bytes"`
 	LeftOver   []string       `json:"left_over,omitempty"`
-	Formed     bool           `json:"formed"`
-	Voters     []string       `json:"voters"`
-	Standings  []dataStanding `json:"standings"`
+	Life       string         `json:"life"`       // identity of the disk, in hexadecimal
+	Membership uint64         `json:"membership"` // number of the newest membership known to be chosen
+	Active     uint64         `json:"active"`     // number of the one that this disk votes, or last voted, under
+	Voters     []dataVoter    `json:"voters"`
 	Registers  []dataRegister `json:"registers"`
-	FoundLater bool           `json:"founding,omitempty"`
 }
 
-type dataStanding struct {
-	Voter      string `json:"voter"`
-	Generation uint64 `json:"generation"`
+// dataVoter is a voter of the newest membership.
+type dataVoter struct {
+	Address string `json:"address"`
+	Life    string `json:"life"`
 }
 
 type dataRegister struct {
@@ -82,8 +83,8 @@
 	}
 	r, err := voterlog.Inspect(folder)
 	d := dataReport{Folder: folder, Format: r.Format, File: r.File, Bytes: r.Bytes, Frames: r.Frames, Entries: r.Entries, TornBytes: r.TornBytes,
-		LeftOver: r.LeftOver, Formed: r.Formed, Voters: r.Voters, FoundLater: r.Founding,
-		Standings: lo.Map(r.Standings, func(s *schema.Standing, _ int) dataStanding { return dataStanding{s.Voter, s.Generation >> 32} }),
+		LeftOver: r.LeftOver, Life: hexadecimal(r.Life), Membership: r.Membership.GetNumber(), Active: r.Active,
+		Voters: lo.Map(r.Membership.GetVoters(), func(v *schema.Voter, _ int) dataVoter { return dataVoter{v.Address, hexadecimal(v.Life)} }),
 		Registers: lo.Map(r.Cells, func(c *schema.Cell, _ int) dataRegister {
 			return dataRegister{c.Key, c.Value.GetRevision(), len(c.Value.GetData()), c.Value.GetChanges()}
 		})}
@@ -93,6 +94,11 @@
 	return d, err
 }
 
+// votes reports whether the disk's voter votes under the newest membership.
+func (d dataReport) votes() bool { return d.Active > 0 && d.Active == d.Membership }
+
+func hexadecimal(life uint64) string { return fmt.Sprintf("%016x", life) }
+
 func (d dataReport) write(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "%s: format %d, %d bytes, %d frames, %d entries\n", filepath.Join(d.Folder, d.File), d.Format, d.Bytes, d.Frames, d.Entries)
@@ -102,9 +108,9 @@
 	if len(d.LeftOver) > 0 {
 		fmt.Fprintf(w, "the next start removes %s\n", strings.Join(d.LeftOver, ", "))
 	}
-	fmt.Fprintf(w, "%s\n\nVOTER\tGENERATION\n", lo.Ternary(d.Formed, "it votes", "it does not vote yet"))
-	for _, s := range d.Standings {
-		fmt.Fprintf(w, "%s\t%d\n", s.Voter, s.Generation)
+	fmt.Fprintf(w, "disk %s, membership %d, %s\n\nVOTER\tDISK\n", d.Life, d.Membership, lo.Ternary(d.votes(), "it votes", "it does not vote"))
+	for _, v := range d.Voters {
+		fmt.Fprintf(w, "%s\t%s\n", v.Address, v.Life)
 	}
 	fmt.Fprintln(w, "\nREGISTER\tREVISION ACCEPTED\tBYTES\tCHANGED BY")
 	for _, r := range d.Registers {
--- a/control/calendar.go
+++ b/control/calendar.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/bookings"
 	"stoneford/language"
 	"stoneford/result"
@@ -124,8 +124,8 @@
 				return
 			}
 		}
-		c.read(now, BookingsKey, func(now int64, o ballots.Outcome) {
-			if o.Verdict != ballots.Agreed {
+		c.read(now, BookingsKey, func(now int64, o paxos.Outcome) {
+			if o.Verdict != paxos.Agreed {
 				ret(verdict(o.Verdict, false), "")
 				return
 			}
@@ -248,8 +248,8 @@
 			b.Target = p.Name
 		}
 	}
-	c.read(now, BookingsKey, func(now int64, o ballots.Outcome) {
-		if o.Verdict != ballots.Agreed {
+	c.read(now, BookingsKey, func(now int64, o paxos.Outcome) {
+		if o.Verdict != paxos.Agreed {
 			ret(result.NoVoterMajority, "")
 			return
 		}
@@ -272,8 +272,8 @@
 			ret(p.Code, p.Text)
 			return
 		}
-		c.putCalendar(now, o.Value.GetRevision(), cal, func(now int64, o ballots.Outcome) {
-			if o.Verdict != ballots.Agreed {
+		c.putCalendar(now, o.Value.GetRevision(), cal, func(now int64, o paxos.Outcome) {
+			if o.Verdict != paxos.Agreed {
 				ret(verdict(o.Verdict, true), "")
 				return
 			}
@@ -282,12 +282,12 @@
 	})
 }
 
-func (c *Core) putCalendar(now int64, base uint64, cal *schema.Calendar, f func(int64, ballots.Outcome)) {
+func (c *Core) putCalendar(now int64, base uint64, cal *schema.Calendar, f func(int64, paxos.Outcome)) {
 	b, err := proto.Marshal(cal)
 	if err != nil {
 		panic(err)
 	}
-	c.ask(now, ballots.Change{Name: c.name(), Key: BookingsKey, Base: base, Data: b, Expiry: now + settingExpiry}, f)
+	c.ask(now, paxos.Change{Name: c.name(), Key: BookingsKey, Base: base, Data: b, Deadline: now + settingExpiry}, f)
 }
 
 func (c *Core) bookedText(bs []*schema.Booking, zone *time.Location) string {
@@ -371,9 +371,9 @@
 		if st == bookings.Draining {
 			bookings.Find(n, b.Id).Identity = v.Identity
 		}
-		c.putCalendar(now, rev, n, func(now int64, o ballots.Outcome) {
+		c.putCalendar(now, rev, n, func(now int64, o paxos.Outcome) {
 			c.bookingPut = false
-			if o.Verdict == ballots.Agreed {
+			if o.Verdict == paxos.Agreed {
 				c.say(result.BookingMoved, "booking %d, %s of %s: %s %s", b.Id, b.Kind, b.Target, st, detail)
 			}
 		})
--- a/control/core.go
+++ b/control/core.go
@@ -13,10 +13,10 @@
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
 	"stoneford/bookings"
 	"stoneford/duties"
 	"stoneford/neighbours"
+	"stoneford/paxos"
 	"stoneford/permits"
 	"stoneford/records"
 	"stoneford/relaytree"
@@ -30,6 +30,7 @@
 
 // Keys of the registers.
 const (
+	candidateFor = 1_000_000 // a process that did not ask to vote so long is no candidate
 	ConfigPrefix = "config/"
 	GroupPrefix  = "group/"
 	dutyPrefix   = "duty/"
@@ -126,8 +127,9 @@
 	self     string
 	run      uint64
 	boot     *schema.Boot
-	voter    *ballots.Voter
-	proposer *ballots.Proposer
+	voter    *paxos.Acceptor
+	reconf   *paxos.Reconfigurer
+	proposer *paxos.Proposer
 	relay    *relaytree.Relay
 	recs     *records.Store
 	watch    *neighbours.Watch // as one node among all
@@ -137,7 +139,7 @@
 	groups   map[string]*groupDuty
 	configs  map[string]*schema.Configuration
 	nodes    []roster.Node
-	pending  map[string]func(int64, ballots.Outcome)
+	pending  map[string]func(int64, paxos.Outcome)
 	catching map[string]int64
 	names    uint64
 	stamp    uint64
@@ -162,15 +164,16 @@
 }
 
 // NewCore makes a control process; run must be greater than any earlier run's
-// of this process, nonce random.
-func NewCore(b *schema.Boot, run uint64, nonce uint32) *Core {
+// of this process, life random: it tells this disk from any other.
+func NewCore(b *schema.Boot, run, life uint64) *Core {
 	c := &Core{self: b.Listen, run: run, boot: b,
-		voter:    ballots.NewVoter(b.Listen, b.Seeds, nonce),
-		proposer: ballots.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
+		voter:    paxos.NewAcceptor(b.Listen, life, paxos.Place{}, b.Seeds),
+		proposer: paxos.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
+		reconf:   paxos.NewReconfigurer(b.Listen, fmt.Sprint(run)),
 		relay:    relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
 		watch: neighbours.New(b.Listen), ctl: neighbours.New(b.Listen), down: map[string]bool{},
 		groups: map[string]*groupDuty{}, configs: map[string]*schema.Configuration{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, carries: map[uint64]*carried{}, asked: map[uint64]*asked{}, cal: &schema.Calendar{}, stamp: run}
+		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, carries: map[uint64]*carried{}, asked: map[uint64]*asked{}, cal: &schema.Calendar{}, stamp: run}
 	c.duty = duties.New(b.Listen, run, b.Seeds, c.name, c.given)
 	return c
 }
@@ -204,7 +207,7 @@
 	case PutConfiguration:
 		c.putConfiguration(now, e)
 	case GetConfiguration:
-		c.read(now, ConfigPrefix+e.Partner, func(now int64, o ballots.Outcome) {
+		c.read(now, ConfigPrefix+e.Partner, func(now int64, o paxos.Outcome) {
 			r := Return{ID: e.ID, Code: verdict(o.Verdict, false), Revision: o.Value.GetRevision(), Text: text(o.Value)}
 			c.fx.Do = append(c.fx.Do, r)
 		})
@@ -224,11 +227,13 @@
 }
 
 func (c *Core) envelope(now int64, e *schema.Envelope) {
-	switch b := e.Body.(type) {
-	case *schema.Envelope_Prepare, *schema.Envelope_Accept, *schema.Envelope_Join, *schema.Envelope_JoinReturn:
-		c.voted(c.voter.Step(now, e))
-	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
+	if paxos.IsForAcceptor(e) {
+		c.voted(now, c.voter.Step(now, e))
+	}
+	if paxos.IsForProposer(e) {
 		c.proposed(now, c.proposer.Step(now, e))
+	}
+	switch b := e.Body.(type) {
 	case *schema.Envelope_News, *schema.Envelope_Digest:
 		c.learned(c.relay.Step(now, e))
 	case *schema.Envelope_Records, *schema.Envelope_RangeDigests:
@@ -245,15 +250,23 @@
 	}
 }
 
-func (c *Core) voted(fx ballots.Effects) {
+func (c *Core) voted(now int64, fx paxos.Effects) {
+	c.proposer.SetMembership(now, c.voter.Membership())
 	c.fx.Log = append(c.fx.Log, fx.Log...)
 	c.fx.Send = append(c.fx.Send, fx.Send...)
 }
 
-func (c *Core) proposed(now int64, fx ballots.ProposerEffects) {
+func (c *Core) proposed(now int64, fx paxos.ProposerEffects) {
 	c.fx.Send = append(c.fx.Send, fx.Send...)
 	for _, o := range fx.Outcomes {
-		if o.Verdict == ballots.Agreed || o.Verdict == ballots.Lost {
+		if o.Change.Key == paxos.MembershipKey {
+			c.reconf.Done()
+			if m, ok := paxos.ChosenMembership(o); ok {
+				c.voted(now, c.voter.Adopt(m))
+			}
+			continue
+		}
+		if o.Verdict == paxos.Agreed || o.Verdict == paxos.Lost {
 			c.agreed(now, o.Change.Key, o.Value)
 		}
 		if f := c.pending[o.Change.Name]; f != nil {
@@ -263,6 +276,18 @@
 	}
 }
 
+// reconfigure has a voter whose disk was lost vote again, as the disk that it has
+// now. Who the processes are stays as the settings name it.
+func (c *Core) reconfigure(now int64) {
+	s := paxos.Survey{Lost: map[string]bool{}, Candidates: c.voter.Candidates(now, candidateFor)}
+	for _, o := range c.voter.Membership().Addresses() {
+		s.Lost[o] = o != c.self && c.down[o]
+	}
+	if ch, ok := c.reconf.Step(now, c.voter, s); ok {
+		c.proposed(now, c.proposer.Ask(now, ch))
+	}
+}
+
 // agreed hands what is known to be chosen to the relay tree.
 func (c *Core) agreed(now int64, key string, v *schema.Value) {
 	if v.GetRevision() > 0 && !strings.HasPrefix(key, dutyPrefix) {
@@ -313,22 +338,22 @@
 	maps.DeleteFunc(c.groups, func(k string, _ *groupDuty) bool { return !slices.Contains(ks, dutyPrefix+k) })
 }
 
-func (c *Core) ask(now int64, ch ballots.Change, f func(int64, ballots.Outcome)) {
+func (c *Core) ask(now int64, ch paxos.Change, f func(int64, paxos.Outcome)) {
 	c.pending[ch.Name] = f
 	c.proposed(now, c.proposer.Ask(now, ch))
 }
 
-func (c *Core) read(now int64, key string, f func(int64, ballots.Outcome)) {
-	c.ask(now, ballots.Change{Name: c.name(), Key: key, Read: true, Expiry: now + settingExpiry}, f)
+func (c *Core) read(now int64, key string, f func(int64, paxos.Outcome)) {
+	c.ask(now, paxos.Change{Name: c.name(), Key: key, Read: true, Deadline: now + settingExpiry}, f)
 }
 
-func verdict(v ballots.Verdict, change bool) result.Code {
+func verdict(v paxos.Verdict, change bool) result.Code {
 	switch {
-	case v == ballots.Agreed:
+	case v == paxos.Agreed:
 		return result.OK
-	case v == ballots.Lost:
+	case v == paxos.Lost:
 		return result.LosingRevision
-	case v == ballots.Uncertain && change:
+	case v == paxos.Uncertain && change:
 		return result.ChangeUncertain
 	}
 	return result.NoVoterMajority
@@ -346,10 +371,10 @@
 func (c *Core) putConfiguration(now int64, e PutConfiguration) {
 	key := ConfigPrefix + e.Partner
 	ret := func(r Return) { r.ID = e.ID; c.fx.Do = append(c.fx.Do, r) }
-	c.read(now, key, func(now int64, o ballots.Outcome) {
+	c.read(now, key, func(now int64, o paxos.Outcome) {
 		cur := o.Value
 		switch {
-		case o.Verdict != ballots.Agreed:
+		case o.Verdict != paxos.Agreed:
 			ret(Return{Code: result.NoVoterMajority})
 			return
 		case cur.GetRevision() != e.Base:
@@ -376,7 +401,7 @@
 			ret(Return{Code: result.OK, Revision: e.Base, Text: next})
 			return
 		}
-		c.ask(now, ballots.Change{Name: c.name(), Key: key, Base: e.Base, Data: next, Expiry: now + settingExpiry}, func(now int64, o ballots.Outcome) {
+		c.ask(now, paxos.Change{Name: c.name(), Key: key, Base: e.Base, Data: next, Deadline: now + settingExpiry}, func(now int64, o paxos.Outcome) {
 			ret(Return{Code: verdict(o.Verdict, true), Revision: o.Value.GetRevision(), Text: text(o.Value)})
 		})
 	})
@@ -411,8 +436,9 @@
 func (c *Core) alive(o string) bool { return o == c.self && !c.leaving || o != c.self && !c.down[o] }
 
 func (c *Core) tick(now int64) {
-	c.voted(c.voter.Tick(now))
-	if c.voter.Formed() && !c.formed {
+	c.voted(now, c.voter.Tick(now))
+	c.reconfigure(now)
+	if c.voter.Votes() && !c.formed {
 		c.formed = true
 		c.say(result.VoterFormed, "%s", c.self)
 	}
@@ -481,7 +507,7 @@
 			continue
 		}
 		c.catching[k] = now + catchUpEvery
-		c.read(now, k, func(int64, ballots.Outcome) { delete(c.catching, k) })
+		c.read(now, k, func(int64, paxos.Outcome) { delete(c.catching, k) })
 	}
 }
 
@@ -491,7 +517,7 @@
 	}
 	fx := c.duty.Tick(now, c.alive)
 	for _, ch := range fx.Changes {
-		c.ask(now, ch, func(now int64, o ballots.Outcome) {
+		c.ask(now, ch, func(now int64, o paxos.Outcome) {
 			for _, k := range c.duty.Outcome(now, o).Taken {
 				c.say(result.DutyTaken, "%s", k)
 			}
@@ -525,8 +551,8 @@
 		case takeover.Ask:
 			c.fx.Do = append(c.fx.Do, AskDatabase{Group: k, ID: e.ID, Address: e.Address, Seal: e.Seal})
 		case takeover.Put:
-			c.ask(now, ballots.Change{Name: c.name(), Key: GroupPrefix + k, Base: e.Base, Data: e.Data, Expiry: now + settingExpiry},
-				func(int64, ballots.Outcome) { g.decider.PutDone() })
+			c.ask(now, paxos.Change{Name: c.name(), Key: GroupPrefix + k, Base: e.Base, Data: e.Data, Deadline: now + settingExpiry},
+				func(int64, paxos.Outcome) { g.decider.PutDone() })
 		case takeover.Platform:
 			c.fx.Do = append(c.fx.Do, Platform{Group: k, Target: e.Target, Identity: e.Identity, Epoch: e.Epoch, Members: e.Members})
 		case takeover.Say:
@@ -591,7 +617,7 @@
 }
 
 // Votes says whether this process's voter votes.
-func (c *Core) Votes() bool { return c.voter.Formed() }
+func (c *Core) Votes() bool { return c.voter.Votes() }
 
 // Nodes is who is in the fleet, as this process knows it.
 func (c *Core) Nodes() []roster.Node { return c.nodes }
--- a/control/process.go
+++ b/control/process.go
@@ -61,7 +61,7 @@
 	if b.DataFolder == "" {
 		return nil, errs.New("boot: data_folder: required on a control process")
 	}
-	var n [4]byte
+	var n [8]byte
 	_, err := rand.Read(n[:])
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 	p := &Process{boot: b, clock: clock, l: loop.New(clock, clock.Now(), lineLength), dbs: databaseclient.New(links.Local(b.Bind, b.Listen))}
 	p.SetTokens(b.Tokens)
 	newCore := func() *Core {
-		return NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint32(n[:]))
+		return NewCore(b, uint64(clock.Now().UnixMicro()), binary.LittleEndian.Uint64(n[:])|1)
 	}
 	p.core = newCore()
 	dir := filepath.Join(b.DataFolder, "voter")
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/schema"
 	"stoneford/simulation"
@@ -125,17 +125,17 @@
 func (c *cluster) run(us int64) { c.w.Run(c.w.Now + us) }
 
 // change has a process put a change of a key to the vote and says how it ended.
-func (c *cluster) change(a, key, data string) ballots.Verdict {
+func (c *cluster) change(a, key, data string) paxos.Verdict {
 	c.t.Helper()
 	m := c.ms[a]
-	v, ended := ballots.Unreached, false
-	ask := func(ch ballots.Change) {
+	v, ended := paxos.Unreached, false
+	ask := func(ch paxos.Change) {
 		ch.Name, ch.Key, ch.Expiry = fmt.Sprint(data, c.w.Now), key, c.w.Now+3_000_000
 		m.core.fx = Effects{}
-		m.core.ask(c.w.Now, ch, func(_ int64, o ballots.Outcome) {
+		m.core.ask(c.w.Now, ch, func(_ int64, o paxos.Outcome) {
 			if ch.Read {
 				ch.Read, ch.Base, ch.Data, ch.Name = false, o.Value.GetRevision(), []byte(data), ch.Name+"w"
-				m.core.ask(c.w.Now, ch, func(_ int64, o ballots.Outcome) { v, ended = o.Verdict, true })
+				m.core.ask(c.w.Now, ch, func(_ int64, o paxos.Outcome) { v, ended = o.Verdict, true })
 				return
 			}
 		})
@@ -145,7 +145,7 @@
 		}
 		c.step(a)
 	}
-	ask(ballots.Change{Read: true})
+	ask(paxos.Change{Read: true})
 	for range 400 {
 		if ended {
 			return v
@@ -160,8 +160,8 @@
 	got, ended := "", false
 	m := c.ms[a]
 	m.core.fx = Effects{}
-	m.core.read(c.w.Now, key, func(_ int64, o ballots.Outcome) {
-		if o.Verdict == ballots.Agreed {
+	m.core.read(c.w.Now, key, func(_ int64, o paxos.Outcome) {
+		if o.Verdict == paxos.Agreed {
 			got = string(o.Value.GetData())
 		}
 		ended = true
@@ -222,7 +222,7 @@
 			}
 		}
 		i := slices.IndexFunc(c.order, func(a string) bool { return !slices.Contains(want, a) })
-		if v := c.change(c.order[i], "x", "one"); v != ballots.Agreed {
+		if v := c.change(c.order[i], "x", "one"); v != paxos.Agreed {
 			t.Fatalf("seed %d: a change through one that is no voter ended as %d", seed, v)
 		}
 		c.ms[c.order[i]].does = nil
@@ -238,7 +238,7 @@
 				c.kill(a, true)
 				gone = append(gone, a)
 			}
-			if v := c.change(want[2], "x", fmt.Sprint("two", k)); v != ballots.Agreed {
+			if v := c.change(want[2], "x", fmt.Sprint("two", k)); v != paxos.Agreed {
 				t.Fatalf("seed %d: with two lost a change ended as %d", seed, v)
 			}
 			for _, a := range gone {
@@ -301,11 +301,11 @@
 		m := c.ms[a]
 		m.hangs, m.refuses = !refuses, refuses
 		for i := range 5 {
-			if v := c.change(b, "leader/g", fmt.Sprint("more", i)); v != ballots.Agreed {
+			if v := c.change(b, "leader/g", fmt.Sprint("more", i)); v != paxos.Agreed {
 				t.Fatalf("refuses %t: a change ended as %d while one disk is in trouble", refuses, v)
 			}
 		}
-		if v := c.change(a, "x", "through it"); v != ballots.Agreed {
+		if v := c.change(a, "x", "through it"); v != paxos.Agreed {
 			t.Fatalf("refuses %t: a change through it ended as %d", refuses, v)
 		}
 		if string(m.core.cells["leader/g"].Value.Data) != "one" {
@@ -326,7 +326,7 @@
 		c.run(3_000_000)
 		// It votes again: with another one gone changes need it.
 		c.kill(c.order[2], false)
-		if v := c.change(b, "leader/g", "after"); v != ballots.Agreed {
+		if v := c.change(b, "leader/g", "after"); v != paxos.Agreed {
 			t.Fatalf("refuses %t: afterwards a change ended as %d", refuses, v)
 		}
 		if got := c.read(a, "leader/g"); got != "after" {
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -10,7 +10,7 @@
 	"math"
 	"slices"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/records"
 	"stoneford/result"
@@ -121,8 +121,8 @@
 	self      string
 	run       uint64
 	boot      ports.Boot
-	voter     *ballots.Voter
-	proposer  *ballots.Proposer
+	voter     *paxos.Voter
+	proposer  *paxos.Proposer
 	view      *voterview.View
 	insts     *records.Store
 	seqs      map[string]uint64 // key of a cell or record to the number of its newest change
@@ -131,7 +131,7 @@
 	groups    map[string]*group
 	table     ports.RoutingTable
 	tableRev  uint64
-	pending   map[string]func(int64, ballots.Outcome)
+	pending   map[string]func(int64, paxos.Outcome)
 	catching  map[string]int64
 	acks      map[uint64]*ack
 	beats     map[string]int // announcements of a database since one was passed on
@@ -168,16 +168,16 @@
 // NewCore makes a control process on top of a voter that was restored, or is
 // new; run must be another than any earlier run's, and voters are empty where they
 // are not known yet.
-func NewCore(b ports.Boot, v *ballots.Voter, voters []string, run uint64) *Core {
+func NewCore(b ports.Boot, v *paxos.Voter, voters []string, run uint64) *Core {
 	self := b.ControlNode()
 	seen := voters
 	if len(voters) == 0 {
 		seen = b.SeedVoters() // these are asked who the voters are
 	}
-	c := &Core{self: self, run: run, boot: b, voter: v, proposer: ballots.NewProposer(self, fmt.Sprint(run), voters),
+	c := &Core{self: self, run: run, boot: b, voter: v, proposer: paxos.NewProposer(self, fmt.Sprint(run), voters),
 		view: voterview.New(self, seen, b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
+		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
@@ -277,9 +277,9 @@
 	case CancelMove:
 		c.cancelMove(now, e)
 	case Fetch:
-		c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
+		c.read(now, voterview.TableKey, func(now int64, o paxos.Outcome) {
 			t, err := routingtable.Decode(o.Value.GetData())
-			c.fx.Do = append(c.fx.Do, Fetched{ID: e.ID, Table: t, OK: o.Verdict == ballots.Agreed && err == nil && t.Revision > 0})
+			c.fx.Do = append(c.fx.Do, Fetched{ID: e.ID, Table: t, OK: o.Verdict == paxos.Agreed && err == nil && t.Revision > 0})
 		})
 	case Said:
 		if g := c.groups[e.Group]; g != nil {
--- a/coordinator/founding.go
+++ b/coordinator/founding.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/schema"
 	"stoneford/step"
@@ -25,8 +25,8 @@
 // that never changes again; what its voter keeps is marked in the one log. A nil
 // founding takes no part.
 type founding struct {
-	voter    *ballots.Voter
-	proposer *ballots.Proposer
+	voter    *paxos.Voter
+	proposer *paxos.Proposer
 	least    int // voters needed
 	began    int64
 	pending  bool
@@ -42,7 +42,7 @@
 // agree on. A process that knows neither founds nothing: it asks.
 func Restore(b ports.Boot, es []*schema.VoterLog, nonce uint32, run uint64) *Core {
 	self := b.ControlNode()
-	v, f := ballots.NewVoter(self, nil, nonce), ballots.NewVoter(self, nil, nonce)
+	v, f := paxos.NewVoter(self, nil, nonce), paxos.NewVoter(self, nil, nonce)
 	for _, l := range es {
 		v.Restore(l)
 		if l.Founding != nil {
@@ -57,7 +57,7 @@
 	}
 	c := NewCore(b, v, v.Voters(), run)
 	if vs := f.Voters(); len(vs) > 0 {
-		c.founding = &founding{voter: f, proposer: ballots.NewProposer(self, fmt.Sprint("founding#", run), vs), least: leastVoters(b)}
+		c.founding = &founding{voter: f, proposer: paxos.NewProposer(self, fmt.Sprint("founding#", run), vs), least: leastVoters(b)}
 	}
 	return c
 }
@@ -79,7 +79,7 @@
 }
 
 // hold wraps what the founding voter's step asks for.
-func (f *founding) hold(c *Core, now int64, fx ballots.Effects) {
+func (f *founding) hold(c *Core, now int64, fx paxos.Effects) {
 	var log []*schema.VoterLog
 	for _, l := range fx.Log {
 		log = append(log, &schema.VoterLog{Founding: l})
@@ -106,12 +106,12 @@
 	}
 }
 
-func (f *founding) proposed(c *Core, now int64, fx ballots.ProposerEffects) {
+func (f *founding) proposed(c *Core, now int64, fx paxos.ProposerEffects) {
 	c.send(marked(fx.Send)...)
 	for _, o := range fx.Outcomes {
 		f.pending = false
 		r := &schema.Roster{}
-		if (o.Verdict == ballots.Agreed || o.Verdict == ballots.Lost) && proto.Unmarshal(o.Value.GetData(), r) == nil && len(r.Voters) > 0 {
+		if (o.Verdict == paxos.Agreed || o.Verdict == paxos.Lost) && proto.Unmarshal(o.Value.GetData(), r) == nil && len(r.Voters) > 0 {
 			c.adopt(now, r.Voters)
 		}
 	}
@@ -143,7 +143,7 @@
 	}
 	f.pending = true
 	f.tries++
-	f.proposed(c, now, f.proposer.Ask(now, ballots.Change{Name: fmt.Sprintf("%s#%d", c.name(), f.tries), Key: votersKey, Data: b, Expiry: now + foundingTry}))
+	f.proposed(c, now, f.proposer.Ask(now, paxos.Change{Name: fmt.Sprintf("%s#%d", c.name(), f.tries), Key: votersKey, Data: b, Deadline: now + foundingTry}))
 }
 
 // candidates are the seeds, and the control processes that count of those that
--- a/coordinator/leadership.go
+++ b/coordinator/leadership.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/schema"
 	"stoneford/step"
@@ -177,12 +177,12 @@
 			if err != nil {
 				panic(err)
 			}
-			c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MembersPrefix + n, Base: e.Base, Data: b, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
+			c.ask(now, paxos.Change{Name: c.name(), Key: voterview.MembersPrefix + n, Base: e.Base, Data: b, Deadline: now + changeExpiry}, func(int64, paxos.Outcome) {
 				g.decider.MembersDone()
 				g.dirty = true
 			})
 		case switchover.Put:
-			c.ask(now, ballots.Change{Name: c.name(), Key: k, Base: e.Base, Data: e.Data, Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
+			c.ask(now, paxos.Change{Name: c.name(), Key: k, Base: e.Base, Data: e.Data, Deadline: now + changeExpiry}, func(int64, paxos.Outcome) {
 				g.decider.PutDone()
 				g.dirty = true
 			})
--- a/coordinator/moves.go
+++ b/coordinator/moves.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/result"
 	"stoneford/routingtable"
@@ -221,7 +221,7 @@
 			site = i.Zone
 		}
 		g.putting = now
-		c.place(now, c.tableRev, c.table, ports.Placement{Group: n, Site: site, From: p.Site, Back: true}, func(int64, ballots.Outcome) {
+		c.place(now, c.tableRev, c.table, ports.Placement{Group: n, Site: site, From: p.Site, Back: true}, func(int64, paxos.Outcome) {
 			g.putting, g.dirty = 0, true
 		})
 	}
@@ -230,7 +230,7 @@
 func (c *Core) putMove(now int64, n string, g *group, base uint64, m *schema.Move) {
 	g.putting = now
 	c.say(result.MoveAdvanced, "%s to %s by table %d: %s %s", n, m.To, m.Table, phaseOf(m), m.Cause)
-	c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MovePrefix + n, Base: base, Data: encodeMove(m), Expiry: now + changeExpiry}, func(int64, ballots.Outcome) {
+	c.ask(now, paxos.Change{Name: c.name(), Key: voterview.MovePrefix + n, Base: base, Data: encodeMove(m), Deadline: now + changeExpiry}, func(int64, paxos.Outcome) {
 		g.putting, g.dirty = 0, true
 	})
 }
@@ -245,9 +245,9 @@
 
 // place puts a placement into the routing table that stands at base; its own
 // register revision is the next one.
-func (c *Core) place(now int64, base uint64, t ports.RoutingTable, p ports.Placement, f func(int64, ballots.Outcome)) {
+func (c *Core) place(now int64, base uint64, t ports.RoutingTable, p ports.Placement, f func(int64, paxos.Outcome)) {
 	p.Table = base + 1
-	c.ask(now, ballots.Change{Name: c.name(), Key: voterview.TableKey, Base: base, Data: routingtable.Encode(routingtable.Place(t, p)), Expiry: now + changeExpiry}, f)
+	c.ask(now, paxos.Change{Name: c.name(), Key: voterview.TableKey, Base: base, Data: routingtable.Encode(routingtable.Place(t, p)), Deadline: now + changeExpiry}, f)
 }
 
 // moveTo puts a group's new site into the newest routing table.
@@ -291,11 +291,11 @@
 		if has && c.at(p.Site)(zone) {
 			from = p.Site
 		}
-		c.place(now, rev, t, ports.Placement{Group: e.Group, Site: e.Site, From: from}, func(now int64, o ballots.Outcome) {
+		c.place(now, rev, t, ports.Placement{Group: e.Group, Site: e.Site, From: from}, func(now int64, o paxos.Outcome) {
 			switch o.Verdict {
-			case ballots.Agreed:
+			case paxos.Agreed:
 				ret(ports.Agreed, rev+1, "")
-			case ballots.Lost:
+			case paxos.Lost:
 				ret(ports.Stale, 0, "the routing table was changed at the same time; ask again")
 			default:
 				ret(ports.Unavailable, 0, "whether it was taken is not known; look at the moves")
@@ -306,16 +306,16 @@
 
 // bothRead reads the routing table and a group's move through a majority.
 func (c *Core) bothRead(now int64, n string, f func(now int64, t ports.RoutingTable, rev uint64, m *schema.Move, mrev uint64, ok bool)) {
-	c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
+	c.read(now, voterview.TableKey, func(now int64, o paxos.Outcome) {
 		t, err := routingtable.Decode(o.Value.GetData())
-		if o.Verdict != ballots.Agreed || err != nil {
+		if o.Verdict != paxos.Agreed || err != nil {
 			f(now, t, 0, nil, 0, false)
 			return
 		}
 		rev := o.Value.GetRevision()
-		c.read(now, voterview.MovePrefix+n, func(now int64, o ballots.Outcome) {
+		c.read(now, voterview.MovePrefix+n, func(now int64, o paxos.Outcome) {
 			m := &schema.Move{}
-			ok := o.Verdict == ballots.Agreed && proto.Unmarshal(o.Value.GetData(), m) == nil
+			ok := o.Verdict == paxos.Agreed && proto.Unmarshal(o.Value.GetData(), m) == nil
 			f(now, t, rev, m, o.Value.GetRevision(), ok)
 		})
 	})
@@ -342,11 +342,11 @@
 			return
 		}
 		m.Phase, m.Cause = uint32(ports.MoveCancelled), "an operator took it back"
-		c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MovePrefix + e.Group, Base: rev, Data: encodeMove(m), Expiry: now + changeExpiry}, func(_ int64, o ballots.Outcome) {
+		c.ask(now, paxos.Change{Name: c.name(), Key: voterview.MovePrefix + e.Group, Base: rev, Data: encodeMove(m), Deadline: now + changeExpiry}, func(_ int64, o paxos.Outcome) {
 			switch o.Verdict {
-			case ballots.Agreed:
+			case paxos.Agreed:
 				ret(ports.Agreed, m.Table, "")
-			case ballots.Lost:
+			case paxos.Lost:
 				ret(ports.Stale, m.Table, "the move went on at the same time; look at the moves")
 			default:
 				ret(ports.Unavailable, 0, "whether it was taken back is not known; look at the moves")
--- a/coordinator/operators.go
+++ b/coordinator/operators.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/routingtable"
 	"stoneford/voterview"
@@ -15,10 +15,10 @@
 	ret := func(o ports.Outcome, rev uint64, ps ...string) {
 		c.fx.Do = append(c.fx.Do, Changed{ID: e.ID, Result: ports.ChangeResult{Outcome: o, Revision: rev, Problems: ps}})
 	}
-	c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
+	c.read(now, voterview.TableKey, func(now int64, o paxos.Outcome) {
 		cur, err := routingtable.Decode(o.Value.GetData())
 		switch {
-		case o.Verdict != ballots.Agreed || err != nil:
+		case o.Verdict != paxos.Agreed || err != nil:
 			ret(ports.Unavailable, 0)
 			return
 		case slices.Contains(o.Value.GetChanges(), e.Change.Name):
@@ -40,12 +40,12 @@
 			ret(ports.Unavailable, cur.Revision)
 			return
 		}
-		c.ask(now, ballots.Change{Name: name, Key: voterview.TableKey, Base: o.Value.GetRevision(), Data: routingtable.Encode(next), Expiry: now + changeExpiry}, func(now int64, o ballots.Outcome) {
+		c.ask(now, paxos.Change{Name: name, Key: voterview.TableKey, Base: o.Value.GetRevision(), Data: routingtable.Encode(next), Deadline: now + changeExpiry}, func(now int64, o paxos.Outcome) {
 			t, _ := routingtable.Decode(o.Value.GetData())
 			switch o.Verdict {
-			case ballots.Agreed:
+			case paxos.Agreed:
 				ret(ports.Agreed, t.Revision)
-			case ballots.Lost:
+			case paxos.Lost:
 				ret(ports.Stale, t.Revision)
 			default:
 				ret(ports.Unavailable, 0)
--- a/coordinator/voting.go
+++ b/coordinator/voting.go
@@ -1,7 +1,7 @@
 package coordinator
 
 import (
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/result"
 	"stoneford/schema"
 	"stoneford/step"
@@ -59,7 +59,7 @@
 
 // voted holds what a voter's step asks for until its entries, and those of the
 // steps before it, are on disk.
-func (c *Core) voted(now int64, fx ballots.Effects) {
+func (c *Core) voted(now int64, fx paxos.Effects) {
 	h := held{sends: fx.Send, formed: c.voter.Formed()}
 	for _, k := range fx.Chosen {
 		h.cells = append(h.cells, c.voter.Cell(k))
@@ -83,7 +83,7 @@
 	}
 }
 
-func (c *Core) proposed(now int64, fx ballots.ProposerEffects) {
+func (c *Core) proposed(now int64, fx paxos.ProposerEffects) {
 	c.send(fx.Send...)
 	for _, o := range fx.Outcomes {
 		if f := c.pending[o.Change.Name]; f != nil {
@@ -93,13 +93,13 @@
 	}
 }
 
-func (c *Core) ask(now int64, ch ballots.Change, f func(int64, ballots.Outcome)) {
+func (c *Core) ask(now int64, ch paxos.Change, f func(int64, paxos.Outcome)) {
 	c.pending[ch.Name] = f
 	c.proposed(now, c.proposer.Ask(now, ch))
 }
 
-func (c *Core) read(now int64, key string, f func(int64, ballots.Outcome)) {
-	c.ask(now, ballots.Change{Name: c.name(), Key: key, Read: true, Expiry: now + changeExpiry}, f)
+func (c *Core) read(now int64, key string, f func(int64, paxos.Outcome)) {
+	c.ask(now, paxos.Change{Name: c.name(), Key: key, Read: true, Deadline: now + changeExpiry}, f)
 }
 
 // catchUp settles registers of which a voter holds more than is known as agreed:
@@ -117,7 +117,7 @@
 			c.catching[k] = now + catchUpEvery + int64(step.Hash(c.self, k)%catchUpEvery)
 		case now >= c.catching[k]:
 			c.catching[k] = now + 2*catchUpEvery
-			c.read(now, k, func(int64, ballots.Outcome) {})
+			c.read(now, k, func(int64, paxos.Outcome) {})
 		}
 	}
 }
--- a/duties/duties.go
+++ b/duties/duties.go
@@ -12,7 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/schema"
 	"stoneford/step"
 )
@@ -48,7 +48,7 @@
 
 // Effects of a step.
 type Effects struct {
-	Changes []ballots.Change
+	Changes []paxos.Change
 	Taken   []string // duties this process now holds and did not before
 }
 
@@ -176,7 +176,7 @@
 		}
 		if now >= u.next {
 			u.asked, u.next = now, now+lookEvery
-			fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: k, Read: true, Expiry: now + askExpiry})
+			fx.Changes = append(fx.Changes, paxos.Change{Name: d.name(), Key: k, Read: true, Deadline: now + askExpiry})
 		}
 	}
 	return fx
@@ -188,11 +188,11 @@
 		panic(err)
 	}
 	u.asked, u.next, u.known = now, now+lookEvery, false
-	fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: u.key, Base: u.revision, Data: b, Expiry: now + askExpiry})
+	fx.Changes = append(fx.Changes, paxos.Change{Name: d.name(), Key: u.key, Base: u.revision, Data: b, Deadline: now + askExpiry})
 }
 
 // Outcome takes the end of a change of this package.
-func (d *Duties) Outcome(now int64, o ballots.Outcome) Effects {
+func (d *Duties) Outcome(now int64, o paxos.Outcome) Effects {
 	var fx Effects
 	u := d.m[o.Change.Key]
 	if u == nil {
@@ -200,7 +200,7 @@
 	}
 	asked := u.asked
 	u.asked = 0
-	if o.Verdict != ballots.Agreed && o.Verdict != ballots.Lost {
+	if o.Verdict != paxos.Agreed && o.Verdict != paxos.Lost {
 		return fx
 	}
 	s := &schema.DutyState{}
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/schema"
 )
 
@@ -15,12 +15,12 @@
 	v *schema.Value
 }
 
-func (r *register) put(c ballots.Change) ballots.Outcome {
-	o := ballots.Outcome{Change: c, Verdict: ballots.Agreed, Value: r.v}
+func (r *register) put(c paxos.Change) paxos.Outcome {
+	o := paxos.Outcome{Change: c, Verdict: paxos.Agreed, Value: r.v}
 	switch {
 	case c.Read:
 	case c.Base != r.v.GetRevision():
-		o.Verdict = ballots.Lost
+		o.Verdict = paxos.Lost
 	default:
 		r.v = &schema.Value{Revision: c.Base + 1, Data: c.Data}
 		o.Value = r.v
--- a/fleetsimulation/controls.go
+++ b/fleetsimulation/controls.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/coordinator"
 	"stoneford/ports"
 	"stoneford/schema"
@@ -46,8 +46,8 @@
 	f.runs++
 	nonce := uint32(f.R.Uint64())
 	voters := c.boot.SeedVoters()
-	build := func() *ballots.Voter {
-		v := ballots.NewVoter(c.boot.ControlNode(), voters, nonce)
+	build := func() *paxos.Voter {
+		v := paxos.NewVoter(c.boot.ControlNode(), voters, nonce)
 		for _, b := range c.disk {
 			l := &schema.VoterLog{}
 			if err := proto.Unmarshal(b, l); err != nil {
--- /dev/null
+++ b/paxos/example_test.go
@@ -0,0 +1,53 @@
+package paxos_test
+
+import (
+	"fmt"
+
+	"stoneford/paxos"
+	"stoneford/step"
+)
+
+// Three voters and a proposer in one process; envelopes are handed over as they
+// come, and what a voter logs would be synced here.
+func Example() {
+	names := []string{"a", "b", "c"}
+	acceptors := map[string]*paxos.Acceptor{}
+	for i, n := range names {
+		acceptors[n] = paxos.NewAcceptor(n, uint64(i+1), paxos.Place{}, names)
+	}
+	p := paxos.NewProposer("a", "1", names)
+	var queue []step.Send
+	var ended []paxos.Outcome
+	proposed := func(fx paxos.ProposerEffects) {
+		queue, ended = append(queue, fx.Send...), append(ended, fx.Outcomes...)
+	}
+	run := func() {
+		for len(queue) > 0 {
+			s := queue[0]
+			queue = queue[1:]
+			if paxos.IsForProposer(s.Env) && s.To == "a" {
+				proposed(p.Step(1, s.Env))
+			}
+			if paxos.IsForAcceptor(s.Env) {
+				queue = append(queue, acceptors[s.To].Step(1, s.Env).Send...)
+			}
+		}
+	}
+	for now := int64(1); now < 1_000_000; now += 250_000 {
+		for _, n := range names {
+			queue = append(queue, acceptors[n].Tick(now).Send...) // they form
+		}
+		run()
+	}
+	p.SetMembership(1, acceptors["a"].Membership())
+	proposed(p.Ask(1, paxos.Change{Name: "first", Key: "colour", Data: []byte("green"), Deadline: 1_000_000}))
+	run()
+	proposed(p.Ask(1, paxos.Change{Name: "late", Key: "colour", Base: 0, Data: []byte("red"), Deadline: 1_000_000}))
+	run()
+	for _, o := range ended {
+		fmt.Println(o.Change.Name, o.Verdict == paxos.Agreed, o.Value.Revision, string(o.Value.Data))
+	}
+	// Output:
+	// first true 1 green
+	// late false 1 green
+}
--- a/ballots/ballots_test.go
+++ b/paxos/faults_test.go
@@ -1,11 +1,11 @@
-package ballots_test
+package paxos_test
 
 import (
 	"fmt"
 	"slices"
 	"testing"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/schema"
 	"stoneford/simulation"
 )
@@ -24,25 +24,22 @@
 // cluster is three voters, each with a proposer of its own, under kills, lost
 // disks, cuts, losses and doubles.
 type cluster struct {
-	t        *testing.T
-	w        *simulation.World
-	n        *simulation.Network
-	plant    planted
-	addrs    []string
-	voters   map[string]*ballots.Voter
-	props    map[string]*ballots.Proposer
-	disk     map[string][]*schema.VoterLog
-	up       map[string]bool
-	runs     int
-	gen      map[string]int // life of the process, so that old ticks stop
-	chosen   map[string]map[uint64]string
-	agreedAt map[string]uint64 // newest revision known agreed, by key
-	began    map[string]uint64 // by change: newest revision agreed when it began
-	history  map[string][]string
-	changes  int
-	agreed   int
-	reads    int
-	fail     string
+	t         *testing.T
+	w         *simulation.World
+	n         *simulation.Network
+	plant     planted
+	addrs     []string
+	processes map[string]*process
+	up        map[string]bool
+	gen       map[string]int // life of the process, so that old ticks stop
+	lives     map[string]uint64
+	chosen    map[string]map[uint64]string
+	agreedAt  map[string]uint64 // newest revision known agreed, by key
+	began     map[string]uint64 // by change: newest revision agreed when it began
+	changes   int
+	agreed    int
+	reads     int
+	fail      string
 }
 
 func (c *cluster) bad(f string, a ...any) {
@@ -52,65 +49,61 @@
 }
 
 func (c *cluster) boot(a string, empty bool) {
-	c.runs++
 	c.gen[a]++
-	v := ballots.NewVoter(a, c.addrs, uint32(c.w.R.Uint32()))
+	p := c.processes[a]
+	founders := c.addrs
 	if empty {
-		c.disk[a] = nil
-		if c.plant == emptyDiskVotes {
-			c.disk[a] = []*schema.VoterLog{{Formed: true, Standings: []*schema.Standing{{Voter: a, Generation: 1}}}}
+		if c.plant == emptyDiskVotes && p.acceptor != nil {
+			// It goes on as the voter that it was, with nothing of what it held.
+			p.disk = []*schema.VoterLog{{Life: p.acceptor.Life(), Membership: p.acceptor.Membership().Message(), Active: p.acceptor.Active()}}
+		} else {
+			p.disk = nil
 		}
-	}
-	for _, l := range c.disk[a] {
-		v.Restore(l)
-	}
-	vs := c.addrs
-	if c.plant == ackBeforeMajority {
-		vs = c.addrs[:1] // one voter's word is taken for a majority's
-		for _, o := range c.addrs {
-			if o == a {
-				vs = []string{a}
-			}
+		if c.w.Chance(0.5) {
+			founders = nil
 		}
 	}
-	c.voters[a], c.props[a], c.up[a] = v, ballots.NewProposer(a, fmt.Sprint(c.runs), vs), true
+	p.start(c.w.Now, c.w.R, founders)
+	c.up[a] = true
 	g := c.gen[a]
 	var tick func()
 	tick = func() {
 		if c.gen[a] != g || !c.up[a] {
 			return
 		}
-		c.voted(a, v.Tick(c.w.Now))
-		c.proposed(a, c.props[a].Tick(c.w.Now))
+		p.tick(c.w.Now)
+		c.flush(a)
 		c.w.After(20_000, tick)
 	}
 	c.w.After(0, tick)
-}
-
-func (c *cluster) voted(a string, fx ballots.Effects) {
-	if c.plant == unsyncedPromise && c.voters[a].Formed() && c.w.Chance(0.95) {
-		fx.Log = slices.DeleteFunc(fx.Log, func(l *schema.VoterLog) bool { return !l.Snapshot }) // said, and not on disk
-	}
-	c.disk[a] = append(c.disk[a], fx.Log...)
-	if len(c.disk[a]) > 200 && c.plant == none {
-		c.disk[a] = []*schema.VoterLog{c.voters[a].Snapshot()}
-	}
-	for _, s := range fx.Send {
-		c.n.Send(a, s)
+	var ping func()
+	ping = func() {
+		if c.gen[a] != g || !c.up[a] {
+			return
+		}
+		p.ping(c.addrs)
+		c.flush(a)
+		c.w.After(300_000, ping)
 	}
+	ping()
 }
 
-func (c *cluster) proposed(a string, fx ballots.ProposerEffects) {
-	for _, s := range fx.Send {
+// flush delivers what a process asks for.
+func (c *cluster) flush(a string) {
+	p := c.processes[a]
+	if len(p.disk) > 200 && c.plant == none {
+		p.disk = []*schema.VoterLog{p.acceptor.Snapshot()}
+	}
+	for _, s := range p.takeSends() {
 		c.n.Send(a, s)
 	}
-	for _, o := range fx.Outcomes {
+	for _, o := range p.takeEnded() {
 		c.outcome(o)
 	}
 }
 
-func (c *cluster) outcome(o ballots.Outcome) {
-	if o.Verdict != ballots.Agreed && o.Verdict != ballots.Lost {
+func (c *cluster) outcome(o paxos.Outcome) {
+	if o.Verdict != paxos.Agreed && o.Verdict != paxos.Lost {
 		return
 	}
 	k, r := o.Change.Key, o.Value.GetRevision()
@@ -124,7 +117,7 @@
 	if r < c.began[o.Change.Name] {
 		c.bad("%s: %s ended at revision %d, but %d was agreed before it began", k, o.Change.Name, r, c.began[o.Change.Name])
 	}
-	if !o.Change.Read && o.Verdict == ballots.Agreed {
+	if !o.Change.Read && o.Verdict == paxos.Agreed {
 		c.agreed++
 		// Its own revision is base+1, whatever came later.
 		if was, ok := c.chosen[k][o.Change.Base+1]; ok && was != string(o.Change.Data) {
@@ -132,7 +125,7 @@
 		}
 		c.chosen[k][o.Change.Base+1] = string(o.Change.Data)
 	}
-	if !o.Change.Read && o.Verdict == ballots.Lost && c.chosen[k][o.Change.Base+1] == string(o.Change.Data) {
+	if !o.Change.Read && o.Verdict == paxos.Lost && c.chosen[k][o.Change.Base+1] == string(o.Change.Data) {
 		c.bad("%s: %s was told lost and is in force", k, o.Change.Name)
 	}
 	if o.Change.Read {
@@ -145,26 +138,32 @@
 	if !c.up[to] {
 		return
 	}
-	switch e.Body.(type) {
-	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
-		c.proposed(to, c.props[to].Step(c.w.Now, e))
-	default:
-		c.voted(to, c.voters[to].Step(c.w.Now, e))
-	}
+	c.processes[to].take(c.w.Now, e)
+	c.flush(to)
 }
 
 // run drives one seed; it returns what was found wrong. pace is how many times
 // as often changes and faults come, one of them soon after the other.
 func run(t *testing.T, seed uint64, plant planted, pace int64) (*cluster, string) {
-	c := &cluster{t: t, w: simulation.NewWorld(seed), plant: plant, addrs: []string{"a", "b", "c"}, voters: map[string]*ballots.Voter{},
-		props: map[string]*ballots.Proposer{}, disk: map[string][]*schema.VoterLog{}, up: map[string]bool{}, gen: map[string]int{},
+	c := &cluster{t: t, w: simulation.NewWorld(seed), plant: plant, addrs: []string{"a", "b", "c"}, processes: map[string]*process{},
+		up: map[string]bool{}, gen: map[string]int{},
 		chosen: map[string]map[uint64]string{"x": {}, "y": {}}, agreedAt: map[string]uint64{}, began: map[string]uint64{}}
 	c.n = simulation.NewNetwork(c.w)
 	c.n.Take = c.take
 	c.n.Drop, c.n.Double = 0.05, 0.05
 	c.n.DelayHi = 30_000
 	for _, a := range c.addrs {
-		c.boot(a, plant == emptyDiskVotes)
+		p := &process{address: a, target: len(c.addrs), ownWordOnly: plant == ackBeforeMajority}
+		if plant == unsyncedPromise {
+			p.beforeLog = func(p *process, log []*schema.VoterLog) []*schema.VoterLog {
+				if !p.acceptor.Votes() || c.w.Chance(0.05) {
+					return log
+				}
+				return slices.DeleteFunc(log, func(l *schema.VoterLog) bool { return !l.Snapshot }) // said, and not on disk
+			}
+		}
+		c.processes[a] = p
+		c.boot(a, false)
 	}
 	const length = 40_000_000
 	var change func()
@@ -173,13 +172,14 @@
 		if c.up[a] {
 			c.changes++
 			k := []string{"x", "y"}[c.w.R.IntN(2)]
-			ch := ballots.Change{Name: fmt.Sprintf("%s%d", a, c.changes), Key: k, Expiry: c.w.Now + c.w.Between(200_000, 3_000_000)}
+			ch := paxos.Change{Name: fmt.Sprintf("%s%d", a, c.changes), Key: k, Deadline: c.w.Now + c.w.Between(200_000, 3_000_000)}
 			ch.Read = c.w.Chance(0.4)
 			if !ch.Read {
 				ch.Base, ch.Data = c.agreedAt[k], []byte(ch.Name)
 			}
 			c.began[ch.Name] = c.agreedAt[k]
-			c.proposed(a, c.props[a].Ask(c.w.Now, ch))
+			c.processes[a].ask(c.w.Now, ch)
+			c.flush(a)
 		}
 		c.w.After(c.w.Between(5_000, 120_000)/pace, change)
 	}
@@ -190,7 +190,7 @@
 		a := c.addrs[c.w.R.IntN(3)]
 		all := true
 		for _, o := range c.addrs {
-			all = all && c.up[o] && c.voters[o].Formed()
+			all = all && c.up[o] && c.processes[o].acceptor.Votes()
 		}
 		switch p := c.w.R.IntN(4); {
 		case !all:
@@ -203,7 +203,10 @@
 			c.w.After(c.w.Between(100_000, 2_000_000), c.n.Mend)
 		default:
 			c.up[a] = false
-			c.w.After(c.w.Between(0, 1_500_000)/pace, func() { c.boot(a, p == 0) })
+			c.w.After(c.w.Between(0, 1_500_000)/pace, func() {
+				// A lost disk has all voters write a snapshot, which would mend what the plant left out.
+				c.boot(a, p == 0 && plant != unsyncedPromise)
+			})
 		}
 		c.w.After(c.w.Between(200_000, 2_000_000)/pace, fault)
 	}
--- a/ballots/norace_test.go
+++ b/paxos/norace_test.go
@@ -1,5 +1,5 @@
 //go:build !race
 
-package ballots_test
+package paxos_test
 
 const slower = 1
--- a/ballots/proposer.go
+++ b/paxos/proposer.go
@@ -1,4 +1,4 @@
-package ballots
+package paxos
 
 import (
 	"maps"
@@ -13,13 +13,15 @@
 type Verdict int
 
 const (
-	// Agreed: the change is in force, or the reading is the newest value.
+	// Agreed means that the change is in force, or that the reading is the newest
+	// value.
 	Agreed Verdict = iota
-	// Lost: another revision came first; nothing was changed.
+	// Lost means that another revision came first; nothing was changed.
 	Lost
-	// Uncertain: no majority confirmed it in time; it may or may not be chosen.
+	// Uncertain means that no majority confirmed the change in time; it may or may
+	// not be chosen.
 	Uncertain
-	// Unreached: no majority was reached and nothing was changed.
+	// Unreached means that no majority was reached and nothing was changed.
 	Unreached
 )
 
@@ -27,12 +29,12 @@
 // the change: the same name is never put in force twice. A Change with Read
 // set only asks for the newest value.
 type Change struct {
-	Name   string
-	Key    string
-	Base   uint64
-	Data   []byte
-	Read   bool
-	Expiry int64
+	Name     string
+	Key      string
+	Base     uint64
+	Data     []byte
+	Read     bool
+	Deadline int64
 }
 
 // Outcome ends a change.
@@ -52,70 +54,75 @@
 // tried.
 const roundTime = 400_000
 
+// attempt is a change or a reading under way.
 type attempt struct {
 	ch       Change
 	number   uint64
 	ballot   *schema.Ballot
-	look     bool // asks without a ballot: binds no voter and writes nothing
+	look     bool // reads without a ballot: binds no voter and writes nothing
 	second   bool // in the accept phase
 	asked    bool // an accept with this change ever left
 	promises map[string]*schema.Promise
 	accepted map[string]*schema.Accepted
 	value    *schema.Value // put to the vote
-	have     *schema.Cell  // what this process's own voter holds
+	have     *schema.Cell  // what this process's own acceptor holds
 	mine     bool          // value is this change itself
 	until    int64         // of this round
 	again    int64         // when a round that failed is retried, 0 while one runs
 	tries    uint64
 }
 
-// Proposer is the half of the ballots that puts changes to the vote. It holds
-// one round a key at a time and the rest in line.
+// Proposer is the half of the protocol that puts changes to the vote. It runs one
+// round a key at a time and queues the rest.
 type Proposer struct {
-	self   string // address replies are sent to
-	name   string // unique to this run of the process: no ballot is ever reused
-	voters []string
-	round  uint64
-	number uint64
-	busy   map[string]*attempt
-	line   map[string][]Change
-	// Known, where set, is what the voter beside this proposer accepted of a key:
+	self       string // address that replies are sent to
+	name       string // unique to this run of the process: no ballot is ever used again
+	contacts   []string
+	membership Membership
+	round      uint64
+	number     uint64
+	busy       map[string]*attempt
+	queue      map[string][]Change
+	// Known, where set, is what the acceptor beside this proposer accepted of a key:
 	// others need not send that back.
 	Known func(key string) *schema.Cell
 }
 
 // NewProposer makes a proposer; run must be a name that no earlier run of the
-// process used. With no voters it waits until it is told who they are.
-func NewProposer(self, run string, voters []string) *Proposer {
-	return &Proposer{self: self, name: self + "#" + run, voters: slices.Clone(voters), busy: map[string]*attempt{}, line: map[string][]Change{}}
+// process used. Until it knows a membership it asks the contacts for one.
+func NewProposer(self, run string, contacts []string) *Proposer {
+	return &Proposer{self: self, name: self + "#" + run, contacts: slices.Clone(contacts), busy: map[string]*attempt{}, queue: map[string][]Change{}}
 }
 
-// SetVoters tells who the voters are, once that is known; what waits begins anew.
-func (p *Proposer) SetVoters(now int64, voters []string) {
-	if slices.Equal(p.voters, voters) {
+// SetMembership takes a newer membership; what was under way begins anew under it.
+func (p *Proposer) SetMembership(now int64, m Membership) {
+	if m.Number <= p.membership.Number {
 		return
 	}
-	p.voters = slices.Clone(voters)
+	p.membership = m
 	for _, a := range p.busy {
 		a.again = now
 	}
 }
 
+// Membership is the one under which this proposer counts replies.
+func (p *Proposer) Membership() Membership { return p.membership }
+
 // Ask takes a change or a reading.
 func (p *Proposer) Ask(now int64, c Change) ProposerEffects {
 	var fx ProposerEffects
-	p.line[c.Key] = append(p.line[c.Key], c)
+	p.queue[c.Key] = append(p.queue[c.Key], c)
 	p.next(&fx, now, c.Key)
 	return fx
 }
 
-// Tick retries rounds that failed and ends changes whose expiry has come.
+// Tick retries rounds that failed and ends changes whose deadline has come.
 func (p *Proposer) Tick(now int64) ProposerEffects {
 	var fx ProposerEffects
 	for _, k := range slices.Sorted(maps.Keys(p.busy)) {
 		a := p.busy[k]
 		switch {
-		case now >= a.ch.Expiry:
+		case now >= a.ch.Deadline:
 			p.giveUp(&fx, now, a)
 		case a.again > 0 && now >= a.again:
 			p.begin(&fx, now, a)
@@ -123,12 +130,12 @@
 			p.retry(now, a)
 		}
 	}
-	for k, l := range p.line {
-		p.line[k] = slices.DeleteFunc(l, func(c Change) bool {
-			if now >= c.Expiry {
+	for k, l := range p.queue {
+		p.queue[k] = slices.DeleteFunc(l, func(c Change) bool {
+			if now >= c.Deadline {
 				fx.Outcomes = append(fx.Outcomes, Outcome{Change: c, Verdict: Unreached})
 			}
-			return now >= c.Expiry
+			return now >= c.Deadline
 		})
 	}
 	slices.SortStableFunc(fx.Outcomes, func(a, b Outcome) int {
@@ -140,7 +147,7 @@
 	return fx
 }
 
-// Step takes a voter's reply.
+// Step takes an acceptor's reply.
 func (p *Proposer) Step(now int64, e *schema.Envelope) ProposerEffects {
 	var fx ProposerEffects
 	switch b := e.Body.(type) {
@@ -148,19 +155,22 @@
 		p.promise(&fx, now, e.From, b.Promise)
 	case *schema.Envelope_Accepted:
 		p.accepted(&fx, now, e.From, b.Accepted)
+	case *schema.Envelope_MembershipNotice:
+		p.SetMembership(now, ReadMembership(b.MembershipNotice.Membership))
+		return p.Tick(now)
 	}
 	return fx
 }
 
 func (p *Proposer) next(fx *ProposerEffects, now int64, k string) {
-	if p.busy[k] != nil || len(p.line[k]) == 0 {
-		if len(p.line[k]) == 0 {
-			delete(p.line, k)
+	if p.busy[k] != nil || len(p.queue[k]) == 0 {
+		if len(p.queue[k]) == 0 {
+			delete(p.queue, k)
 		}
 		return
 	}
-	c := p.line[k][0]
-	p.line[k] = p.line[k][1:]
+	c := p.queue[k][0]
+	p.queue[k] = p.queue[k][1:]
 	a := &attempt{ch: c, look: c.Read}
 	p.busy[k] = a
 	p.begin(fx, now, a)
@@ -171,20 +181,20 @@
 	a.number, a.again, a.until, a.ballot = p.number, 0, now+roundTime, nil
 	if !a.look {
 		p.round++
-		a.ballot = &schema.Ballot{Round: p.round, Proposer: p.name}
+		a.ballot = &schema.Ballot{Membership: p.membership.Number, Round: p.round, Proposer: p.name}
 	}
 	a.second, a.promises, a.accepted = false, map[string]*schema.Promise{}, map[string]*schema.Accepted{}
 	if a.have = nil; p.Known != nil {
 		a.have = p.Known(a.ch.Key)
 	}
 	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Prepare{Prepare: &schema.Prepare{
-		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Have: a.have.GetAccepted()}}})
+		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Have: a.have.GetAccepted(), Membership: p.membership.Number}}})
 }
 
 func (p *Proposer) promise(fx *ProposerEffects, now int64, from string, m *schema.Promise) {
 	p.round = max(p.round, m.Promised.GetRound())
 	a := p.busy[m.Key]
-	if a == nil || a.number != m.Attempt || a.second || a.again > 0 || !slices.Contains(p.voters, from) {
+	if a == nil || a.number != m.Attempt || a.second || a.again > 0 || !p.counts(from, m.Membership, m.Life) {
 		return
 	}
 	if !m.Given {
@@ -195,31 +205,23 @@
 		if a.have == nil || !Same(a.have.Accepted, m.Accepted) {
 			return // of an earlier run's attempt
 		}
-		m = &schema.Promise{Key: m.Key, Attempt: m.Attempt, Given: true, Promised: m.Promised, Accepted: m.Accepted, Value: a.have.Value, Standings: m.Standings}
+		m = &schema.Promise{Key: m.Key, Attempt: m.Attempt, Given: true, Promised: m.Promised, Accepted: m.Accepted, Value: a.have.Value}
 	}
 	a.promises[from] = m
-	qs := counted(a.promises)
-	if len(qs) <= len(p.voters)/2 {
+	if len(a.promises) < p.membership.Quorum() {
 		return
 	}
-	var cur *schema.Promise
-	same := true
-	for _, v := range qs {
-		m := a.promises[v]
-		if cur == nil || less(cur.Accepted, m.Accepted) {
-			cur = m
-		}
-		same = same && !less(a.promises[qs[0]].Accepted, m.Accepted) && !less(m.Accepted, a.promises[qs[0]].Accepted)
-	}
+	cur, same := p.newest(a.promises)
 	a.value, a.mine = p.decide(a, cur.Value)
 	if !a.mine && same {
-		// A majority stands at one ballot: its value is chosen already.
+		// A majority accepted one ballot: its value is chosen already.
 		p.finish(fx, now, a)
 		return
 	}
 	if a.look {
-		// The voters differ; only a ballot settles what is chosen.
-		if len(a.promises) == len(p.voters) {
+		// The voters differ, or accepted it under an earlier membership; only a
+		// ballot settles what is chosen.
+		if len(a.promises) == len(p.membership.Voters) || cur.Accepted.GetMembership() != p.membership.Number {
 			a.look = false
 			p.begin(fx, now, a)
 		}
@@ -229,12 +231,31 @@
 	if a.mine {
 		a.asked = true
 	}
-	by := make([]*schema.Standing, 0, len(qs))
-	for _, v := range qs {
-		by = append(by, &schema.Standing{Voter: v, Generation: own(v, a.promises[v].Standings)})
-	}
 	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: &schema.Accept{
-		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, PromisedBy: by}}})
+		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}}})
+}
+
+// counts reports whether a reply is of a voter under the membership that this
+// proposer goes by.
+func (p *Proposer) counts(from string, membership, life uint64) bool {
+	return membership == p.membership.Number && p.membership.Has(from, life)
+}
+
+// newest is the promise with the highest accepted ballot, and whether all of them
+// accepted that very ballot under the present membership, or nothing at all.
+func (p *Proposer) newest(promises map[string]*schema.Promise) (*schema.Promise, bool) {
+	var newest *schema.Promise
+	for _, from := range slices.Sorted(maps.Keys(promises)) {
+		if newest == nil || Less(newest.Accepted, promises[from].Accepted) {
+			newest = promises[from]
+		}
+	}
+	accepted := newest.Accepted
+	same := newest.Value.GetRevision() == 0 || accepted.GetMembership() == p.membership.Number
+	for _, m := range promises {
+		same = same && Same(m.Accepted, accepted)
+	}
+	return newest, same
 }
 
 // decide says what this round puts to the vote: the change where its base is
@@ -250,7 +271,7 @@
 func (p *Proposer) accepted(fx *ProposerEffects, now int64, from string, m *schema.Accepted) {
 	p.round = max(p.round, m.Promised.GetRound())
 	a := p.busy[m.Key]
-	if a == nil || a.number != m.Attempt || !a.second || a.again > 0 || !slices.Contains(p.voters, from) {
+	if a == nil || a.number != m.Attempt || !a.second || a.again > 0 || !p.counts(from, m.Membership, m.Life) {
 		return
 	}
 	if !m.Given {
@@ -258,7 +279,7 @@
 		return
 	}
 	a.accepted[from] = m
-	if len(counted(a.accepted)) > len(p.voters)/2 {
+	if len(a.accepted) >= p.membership.Quorum() {
 		p.finish(fx, now, a)
 	}
 }
@@ -300,68 +321,30 @@
 }
 
 func (p *Proposer) toAll(fx *ProposerEffects, e *schema.Envelope) {
-	for _, v := range p.voters {
-		fx.Send = append(fx.Send, step.Send{To: v, Env: e})
+	to := p.contacts
+	if p.membership.Known() {
+		to = p.membership.Addresses()
 	}
-}
-
-type reply interface{ GetStandings() []*schema.Standing }
-
-// counted leaves out replies of a voter's disk that another reply knows to be
-// lost (design 3.3).
-func counted[R reply](rs map[string]R) []string {
-	known := map[string]uint64{}
-	for _, r := range rs {
-		raise(known, r.GetStandings())
-	}
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(rs)), func(v string) bool { return own(v, rs[v].GetStandings()) < known[v] })
-}
-
-func own(v string, ss []*schema.Standing) uint64 {
-	for _, s := range ss {
-		if s.Voter == v {
-			return s.Generation
-		}
+	for _, v := range to {
+		fx.Send = append(fx.Send, step.Send{To: v, Env: e})
 	}
-	return 0
 }
 
 // Due is when Tick has something to do next, math.MaxInt64 for never.
 func (p *Proposer) Due() int64 {
 	at := int64(math.MaxInt64)
 	for _, a := range p.busy {
-		at = min(at, a.ch.Expiry)
+		at = min(at, a.ch.Deadline)
 		if a.again > 0 {
 			at = min(at, a.again)
 		} else {
 			at = min(at, a.until)
 		}
 	}
-	for _, l := range p.line {
+	for _, l := range p.queue {
 		for _, c := range l {
-			at = min(at, c.Expiry)
+			at = min(at, c.Deadline)
 		}
 	}
 	return at
 }
-
-// Counted is whose word of rs counts: it leaves out what a voter's disk said
-// that another's word knows to be lost (design 3.3). Each word is the standings
-// that came with it.
-func Counted(rs map[string][]*schema.Standing) []string {
-	m := make(map[string]word, len(rs))
-	for v, s := range rs {
-		m[v] = s
-	}
-	return counted(m)
-}
-
-type word []*schema.Standing
-
-func (w word) GetStandings() []*schema.Standing { return w }
-
-// Same says whether two ballots are one.
-func Same(a, b *schema.Ballot) bool { return !less(a, b) && !less(b, a) }
-
-// Less orders ballots.
-func Less(a, b *schema.Ballot) bool { return less(a, b) }
--- a/ballots/race_test.go
+++ b/paxos/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package ballots_test
+package paxos_test
 
 // slower is by how much fewer seeds run under the race detector.
 const slower = 20
--- /dev/null
+++ b/paxos/reconfigurer.go
@@ -0,0 +1,115 @@
+package paxos
+
+import (
+	"fmt"
+	"slices"
+
+	"stoneford/schema"
+	"stoneford/step"
+)
+
+const (
+	// sealedWait is how long an acceptor that accepted a successor waits to hear
+	// that it was chosen before it finds out.
+	sealedWait = 150_000
+	// turnWait is how long each voter leaves a change of the membership to those
+	// that rank before it.
+	turnWait = 300_000
+	// changeDeadline is how long a change of the membership is tried.
+	changeDeadline = 2_000_000
+)
+
+// Reconfigurer decides when this voter puts a change of the membership to the
+// vote: at most one at a time, and the voters take turns so that they seldom
+// compete. Which membership follows is Plan's.
+type Reconfigurer struct {
+	self    string
+	name    string // unique to this run of the process
+	count   uint64
+	pending bool
+	since   int64 // since when a change is due here
+	sealed  int64 // since when the acceptor is sealed
+}
+
+// NewReconfigurer makes a reconfigurer; run must be a name that no earlier run of
+// the process used.
+func NewReconfigurer(self, run string) *Reconfigurer {
+	return &Reconfigurer{self: self, name: self + "#" + run}
+}
+
+// Done ends the change that Step asked for, however it ended.
+func (r *Reconfigurer) Done() { r.pending = false }
+
+// Step is the change to put to the vote now, if any. Silent names the voters that
+// were not heard lately, which are not waited for.
+func (r *Reconfigurer) Step(now int64, a *Acceptor, s Survey) (Change, bool) {
+	if r.pending {
+		return Change{}, false
+	}
+	if a.Sealed() {
+		if r.sealed == 0 {
+			r.sealed = now
+		}
+		if now-r.sealed < sealedWait+r.turn(a, s)/2 {
+			return Change{}, false
+		}
+		r.sealed = now
+		return r.change(now, Change{Read: true}), true
+	}
+	r.sealed = 0
+	next, due := Plan(a.Membership(), s)
+	if !due || !a.Votes() {
+		r.since = 0
+		return Change{}, false
+	}
+	if r.since == 0 {
+		r.since = now
+	}
+	if now-r.since < r.turn(a, s) {
+		return Change{}, false
+	}
+	r.since = 0
+	return r.change(now, Change{Base: a.Membership().Number, Data: next.Encode()}), true
+}
+
+// turn is how long this voter leaves a change to others.
+func (r *Reconfigurer) turn(a *Acceptor, s Survey) int64 {
+	rank := step.Rank("membership", a.Membership().Addresses())
+	rank = slices.DeleteFunc(rank, func(o string) bool { return s.Lost[o] && o != r.self })
+	return int64(slices.Index(rank, r.self)) * turnWait
+}
+
+func (r *Reconfigurer) change(now int64, c Change) Change {
+	r.count++
+	r.pending = true
+	c.Key, c.Name, c.Deadline = MembershipKey, fmt.Sprintf("%s#membership#%d", r.name, r.count), now+changeDeadline
+	return c
+}
+
+// ChosenMembership is the membership that an outcome shows to be chosen.
+func ChosenMembership(o Outcome) (Membership, bool) {
+	if o.Change.Key != MembershipKey || o.Verdict != Agreed && o.Verdict != Lost || o.Value == nil {
+		return Membership{}, false
+	}
+	m, err := DecodeMembership(o.Value.GetData())
+	return m, err == nil && m.Number == o.Value.Revision
+}
+
+// IsForAcceptor reports whether an envelope is for a process's acceptor.
+func IsForAcceptor(e *schema.Envelope) bool {
+	switch e.Body.(type) {
+	case *schema.Envelope_Prepare, *schema.Envelope_Accept, *schema.Envelope_Found, *schema.Envelope_JoinRequest,
+		*schema.Envelope_StateRequest, *schema.Envelope_StateResponse, *schema.Envelope_MembershipNotice:
+		return true
+	}
+	return false
+}
+
+// IsForProposer reports whether an envelope is for a process's proposer.
+func IsForProposer(e *schema.Envelope) bool {
+	switch e.Body.(type) {
+	case *schema.Envelope_Promise, *schema.Envelope_Accepted, *schema.Envelope_MembershipNotice:
+		return true
+	}
+	return false
+}
--- a/pool/core.go
+++ b/pool/core.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/neighbours"
@@ -114,7 +114,7 @@
 	relay    *relaytree.Relay
 	recs     *records.Store
 	watch    *neighbours.Watch
-	proposer *ballots.Proposer
+	proposer *paxos.Proposer
 	nodes    []roster.Node
 	configs  map[string]*schema.Configuration
 	cal      *schema.Calendar
@@ -135,7 +135,7 @@
 // NewCore makes a node; run must be greater than any earlier run's.
 func NewCore(b *schema.Boot, run uint64) *Core {
 	return &Core{boot: b, self: b.Listen, run: run, stamp: run, relay: relaytree.New(b.Listen, b.Seeds), recs: records.New(b.Listen),
-		watch: neighbours.New(b.Listen), proposer: ballots.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
+		watch: neighbours.New(b.Listen), proposer: paxos.NewProposer(b.Listen, fmt.Sprint(run), b.Seeds),
 		configs: map[string]*schema.Configuration{}, inForce: map[string]uint64{}, cal: &schema.Calendar{}, reading: map[string]bool{}, checked: map[string]uint64{}, groups: map[string]*group{},
 		turn: int(step.Hash(b.Listen) % 3)}
 }
@@ -174,7 +174,7 @@
 		c.fx.Send = append(c.fx.Send, c.recs.Step(now, e).Send...)
 	case *schema.Envelope_Ping, *schema.Envelope_Pong:
 		c.watched(now, c.watch.Step(now, e))
-	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
+	case *schema.Envelope_Promise, *schema.Envelope_Accepted, *schema.Envelope_MembershipNotice:
 		c.proposed(now, c.proposer.Step(now, e))
 	case *schema.Envelope_WhyAsk:
 		// Only of groups of the partner that asks.
@@ -231,7 +231,7 @@
 		if !c.reading[key] {
 			c.reading[key] = true
 			c.names++
-			c.proposed(now, c.proposer.Ask(now, ballots.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Expiry: now + readExpiry}))
+			c.proposed(now, c.proposer.Ask(now, paxos.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Deadline: now + readExpiry}))
 		}
 		return
 	}
@@ -250,12 +250,12 @@
 	c.applied(now, key)
 }
 
-func (c *Core) proposed(now int64, fx ballots.ProposerEffects) {
+func (c *Core) proposed(now int64, fx paxos.ProposerEffects) {
 	c.fx.Send = append(c.fx.Send, fx.Send...)
 	for _, o := range fx.Outcomes {
 		k := o.Change.Key
 		delete(c.reading, k)
-		if o.Verdict == ballots.Agreed {
+		if o.Verdict == paxos.Agreed {
 			c.checked[k] = o.Value.GetRevision()
 			c.learned(now, c.relay.Learn(now, []*schema.Register{{Key: k, Value: o.Value}}, 0, ""))
 		}
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -274,7 +274,7 @@
 func (f *Fleet) startControl(c *controlProc) {
 	c.begin()
 	c.unsynced, c.syncUs, c.leaving = nil, 0, false
-	c.core = control.NewCore(c.boot, f.runNumber(), f.R.Uint32())
+	c.core = control.NewCore(c.boot, f.runNumber(), f.R.Uint64()|1)
 	for _, l := range c.disk {
 		c.core.Restore(l)
 	}
--- a/voterlog/crash_test.go
+++ b/voterlog/crash_test.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/schema"
 )
 
@@ -233,7 +233,7 @@
 func crash(seed uint64, lies bool) (bad string, losses, refusals int) {
 	r := rand.New(rand.NewPCG(seed, 7))
 	d := newDisk(r)
-	var v *ballots.Voter
+	var v *paxos.Acceptor
 	var l *Log
 	// What the world outside was told: the newest promise and accepted revision.
 	told := map[string]*schema.Cell{}
@@ -242,7 +242,7 @@
 		d.refuse = 0
 		var err error
 		for {
-			v = ballots.NewVoter("a", []string{"a"}, r.Uint32())
+			v = paxos.NewAcceptor("a", r.Uint64()|1, paxos.Place{}, []string{"a"})
 			if l, err = OpenIn(d, "/v", v.Restore); err == nil {
 				break
 			}
@@ -253,12 +253,12 @@
 			d.powerLoss() // while it starts
 		}
 		d.lies = lies
-		if len(told) > 0 && !v.Formed() {
+		if len(told) > 0 && !v.Votes() {
 			return "the voter that voted has an empty disk"
 		}
 		for k, c := range told {
 			h := v.Cell(k)
-			if h == nil || ballots.Less(h.Accepted, c.Accepted) || ballots.Less(h.Promised, c.Promised) {
+			if h == nil || paxos.Less(h.Accepted, c.Accepted) || paxos.Less(h.Promised, c.Promised) {
 				return fmt.Sprintf("%s: %v was told, %v is there", k, c, h)
 			}
 		}
--- a/voterlog/folder.go
+++ b/voterlog/folder.go
@@ -23,11 +23,10 @@
 	// LeftOver are files that the next start removes.
 	LeftOver []string
 	// What a voter started on this log holds:
-	Formed    bool
-	Voters    []string
-	Standings []*schema.Standing
-	Cells     []*schema.Cell // newest of each key, in order of the keys
-	Founding  bool           // the seeds' ballots on who the voters are left entries
+	Life       uint64             // identity of the disk
+	Membership *schema.Membership // newest known to be chosen, nil before the first
+	Active     uint64             // number of the membership that it votes, or last voted, under
+	Cells      []*schema.Cell     // newest of each key, in order of the keys
 }
 
 // Inspect reads the log in a folder and changes nothing, so that it can be used
@@ -42,26 +41,18 @@
 	l := &Log{folder: folder}
 	r.File, r.Bytes, r.Frames, r.Entries, r.TornBytes = filepath.Base(l.path(c.number)), c.length, int(c.frames), len(c.entries), c.length-c.good
 	keys := map[string]int{}
-	standings := map[string]int{}
 	for _, e := range c.entries {
 		if e.Snapshot {
-			r.Formed, r.Cells, r.Standings = false, nil, nil
+			r.Cells = nil
 			clear(keys)
-			clear(standings)
 		}
-		r.Formed = r.Formed || e.Formed
-		r.Founding = r.Founding || e.Founding != nil
-		if len(e.Voters) > 0 {
-			r.Voters = e.Voters
+		if e.Life != 0 {
+			r.Life = e.Life
 		}
-		for _, s := range e.Standings {
-			if i, ok := standings[s.Voter]; !ok {
-				standings[s.Voter] = len(r.Standings)
-				r.Standings = append(r.Standings, s)
-			} else if r.Standings[i].Generation < s.Generation {
-				r.Standings[i] = s
-			}
+		if e.Membership != nil {
+			r.Membership = e.Membership
 		}
+		r.Active = max(r.Active, e.Active)
 		for _, k := range e.Cells {
 			if i, ok := keys[k.Key]; ok {
 				r.Cells[i] = k
--- a/voterlog/voterlog.go
+++ b/voterlog/voterlog.go
@@ -34,7 +34,7 @@
 )
 
 // Format is the number of the format that is written.
-const Format = 2
+const Format = 3
 
 // The log is replaced by a snapshot past either; a snapshot that is itself large
 // doubles the bytes, so that not every write is one.
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/ballots"
+	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/schema"
 	"stoneford/step"
@@ -326,10 +326,10 @@
 
 func (v *View) cell(x *voter, c *schema.Cell) {
 	if o := x.cells[c.Key]; o != nil {
-		if ballots.Less(c.Accepted, o.Accepted) {
+		if paxos.Less(c.Accepted, o.Accepted) {
 			return
 		}
-		if ballots.Same(c.Accepted, o.Accepted) && len(c.Value.GetData()) == 0 {
+		if paxos.Same(c.Accepted, o.Accepted) && len(c.Value.GetData()) == 0 {
 			return
 		}
 	}
@@ -351,14 +351,14 @@
 		by := map[string][]*schema.Standing{}
 		var data []byte
 		for o, y := range v.vs {
-			if d := y.cells[k]; d != nil && y.formed && ballots.Same(d.Accepted, c.Accepted) {
+			if d := y.cells[k]; d != nil && y.formed && paxos.Same(d.Accepted, c.Accepted) {
 				by[o] = y.standings
 				if len(d.Value.GetData()) > 0 {
 					data = d.Value.GetData()
 				}
 			}
 		}
-		if len(ballots.Counted(by)) <= len(v.voters)/2 {
+		if len(paxos.Counted(by)) <= len(v.voters)/2 {
 			continue
 		}
 		if data == nil {
@@ -434,7 +434,7 @@
 			by[o] = x.standings
 		}
 	}
-	if len(ballots.Counted(by)) <= len(v.voters)/2 {
+	if len(paxos.Counted(by)) <= len(v.voters)/2 {
 		return false
 	}
 	v.leaseUntil = max(v.leaseUntil, l.at+LeaseUs)
