Control processes go by memberships: views, leases, leave, hand-over, commands

Ruled out: keeping generations beside memberships (two mechanisms for one thing: a lost disk is a replaced voter). Change: coordinator and voterview count words, leases and agreed values under the newest membership only; a new voter vouches for no lease that it did not see; values accepted under an earlier membership are agreed anew; a process that leaves goes when its place is taken; doubts that nobody holds any more end; stoneford fleet voters shows who votes and who asks to. The second register for founding is gone: the seeds found, and add voters up to what may be lost.

--- a/cmd/stoneford/fleet.go
+++ b/cmd/stoneford/fleet.go
@@ -29,6 +29,9 @@
 		one("status", "each process asked: voters, registers, routing table, sessions", false, func(_ context.Context, rs []fleetstate.Reply) (any, func() error, error) {
 			return states(rs), func() error { return fleetstate.WriteStatus(os.Stdout, rs) }, nil
 		}),
+		one("voters", "who votes, under which membership, how far each is, and who asks to vote", false, func(_ context.Context, rs []fleetstate.Reply) (any, func() error, error) {
+			return states(rs), func() error { return fleetstate.WriteVoters(os.Stdout, rs) }, nil
+		}),
 		one("databases", "databases known, and how pool nodes asked use them", false, func(_ context.Context, rs []fleetstate.Reply) (any, func() error, error) {
 			return states(rs), func() error { return fleetstate.WriteDatabases(os.Stdout, rs) }, nil
 		}),
--- a/control/calendar.go
+++ b/control/calendar.go
@@ -11,9 +11,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/paxos"
 	"stoneford/bookings"
 	"stoneford/language"
+	"stoneford/paxos"
 	"stoneford/result"
 	"stoneford/schema"
 	"stoneford/step"
--- a/coordinator/announcements.go
+++ b/coordinator/announcements.go
@@ -63,7 +63,14 @@
 	if a == nil || !slices.Contains(c.view.Voters(), from) {
 		return
 	}
-	if a.by[from] = true; len(a.by) > len(c.view.Voters())/2 && c.known() {
+	a.by[from] = true
+	has := 0
+	for _, o := range c.view.Voters() {
+		if a.by[o] {
+			has++
+		}
+	}
+	if c.known() && has >= c.view.Membership().Quorum() {
 		delete(c.acks, n)
 		c.fx.Do = append(c.fx.Do, Announced{ID: a.id, OK: true})
 	}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -118,70 +118,64 @@
 
 // Core is one control process.
 type Core struct {
-	self      string
-	run       uint64
-	boot      ports.Boot
-	voter     *paxos.Voter
-	proposer  *paxos.Proposer
-	view      *voterview.View
-	insts     *records.Store
-	seqs      map[string]uint64 // key of a cell or record to the number of its newest change
-	seq       uint64
-	follow    map[string]*follower
-	groups    map[string]*group
-	table     ports.RoutingTable
-	tableRev  uint64
-	pending   map[string]func(int64, paxos.Outcome)
-	catching  map[string]int64
-	acks      map[uint64]*ack
-	beats     map[string]int // announcements of a database since one was passed on
-	names     uint64
-	number    uint64
-	formed    bool
-	leaving   bool
-	began     int64
-	lastStep  int64
-	nextCmp   int64
-	nextGone  int64
-	nextAll   int64
-	nextCatch int64 // when registers in doubt are looked for again
-	turn      int
-	changed   bool // something that nodes are to be told
-	stood     []*schema.Standing
-	stoodSeq  uint64
-	rostered  bool
-	all       map[string]uint64 // see schema.Look, of each voter
-	allTold   uint64
-	due       int64
-	own       []*schema.Envelope
-	fx        Effects
-	mark      uint64 // of the newest entries handed out
-	held      []held
-	cells     map[string]*schema.Cell // what this voter accepted, as far as it is on disk
-	ill       bool                    // the disk refuses
-	mend      uint64                  // mark of the snapshot that ends that
-	diskAt    int64                   // when it is tried again, 0 while it is tried
-	founding  *founding               // nil where the voters are known
-	voters    int                     // how many were told of
+	self          string
+	run           uint64
+	boot          ports.Boot
+	voter         *paxos.Acceptor
+	reconfigurer  *paxos.Reconfigurer
+	proposer      *paxos.Proposer
+	view          *voterview.View
+	insts         *records.Store
+	seqs          map[string]uint64 // key of a cell or record to the number of its newest change
+	seq           uint64
+	follow        map[string]*follower
+	groups        map[string]*group
+	table         ports.RoutingTable
+	tableRev      uint64
+	pending       map[string]func(int64, paxos.Outcome)
+	catching      map[string]int64
+	acks          map[uint64]*ack
+	beats         map[string]int // announcements of a database since one was passed on
+	names         uint64
+	number        uint64
+	active        uint64 // number of the membership that the acceptor votes under, as far as it is on disk
+	activated     int64  // since when, 0 if it did when this process started
+	removed       int64  // since when this process, which leaves, does not vote any more
+	leaving       bool
+	began         int64
+	lastStep      int64
+	nextCmp       int64
+	nextGone      int64
+	nextAll       int64
+	nextCatch     int64 // when registers in doubt are looked for again
+	turn          int
+	changed       bool              // something that nodes are to be told
+	membershipSeq uint64            // number of the newest change of the membership, or of what this process votes under
+	all           map[string]uint64 // see schema.Look, of each voter
+	allTold       uint64
+	due           int64
+	own           []*schema.Envelope
+	fx            Effects
+	mark          uint64 // of the newest entries handed out
+	held          []held
+	cells         map[string]*schema.Cell // what this voter accepted, as far as it is on disk
+	ill           bool                    // the disk refuses
+	mend          uint64                  // mark of the snapshot that ends that
+	diskAt        int64                   // when it is tried again, 0 while it is tried
 }
 
-// NewCore makes a control process on top of a voter that was restored, or is
-// new; run must be another than any earlier run's, and voters are empty where they
-// are not known yet.
-func NewCore(b ports.Boot, v *paxos.Voter, voters []string, run uint64) *Core {
+// NewCore makes a control process on top of an acceptor that was restored, or is
+// new; run must be another than any earlier run's.
+func NewCore(b ports.Boot, v *paxos.Acceptor, run uint64) *Core {
 	self := b.ControlNode()
-	seen := voters
-	if len(voters) == 0 {
-		seen = b.SeedVoters() // these are asked who the voters are
-	}
-	c := &Core{self: self, run: run, boot: b, voter: v, proposer: paxos.NewProposer(self, fmt.Sprint(run), voters),
-		view: voterview.New(self, seen, b.Zone, b.Name, "control", run), insts: records.New(self),
+	c := &Core{self: self, run: run, boot: b, voter: v, proposer: paxos.NewProposer(self, fmt.Sprint(run), b.SeedVoters()),
+		reconfigurer: paxos.NewReconfigurer(self, fmt.Sprint(run)),
+		view:         voterview.New(self, b.SeedVoters(), b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
 		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
-	c.view.SetCounts(b.QuorumMember)
 	return c
 }
 
@@ -193,7 +187,8 @@
 		c.bump(k)
 		c.accepted(now, k)
 	}
-	c.formed = c.voter.Formed()
+	c.active = c.voter.Active()
+	c.adopt(now, c.voter.Membership())
 }
 
 func (c *Core) bump(k string) {
@@ -209,7 +204,10 @@
 }
 
 // SetBoot takes settings that changed.
-func (c *Core) SetBoot(b ports.Boot) { c.boot = b }
+func (c *Core) SetBoot(b ports.Boot) {
+	c.boot = b
+	c.view.SetContacts(b.SeedVoters())
+}
 
 // Due is when Step has something to do next even if nothing happens.
 func (c *Core) Due() int64 { return c.due }
@@ -293,6 +291,7 @@
 		}
 	case Stop:
 		c.leaving = true
+		c.voter.Leave()
 		c.view.Want()
 	case Synced:
 		c.synced(now, e.Mark)
@@ -306,32 +305,22 @@
 }
 
 func (c *Core) envelope(now int64, e *schema.Envelope) {
+	if paxos.IsForAcceptor(e) && c.takes() {
+		c.voted(now, c.voter.Step(now, e))
+		c.adopt(now, c.voter.Membership())
+	}
+	if paxos.IsForProposer(e) {
+		c.proposed(now, c.proposer.Step(now, e))
+	}
 	switch b := e.Body.(type) {
-	case *schema.Envelope_Prepare, *schema.Envelope_Accept, *schema.Envelope_Join, *schema.Envelope_JoinReturn:
-		switch {
-		case !c.takes():
-		case e.Founding:
-			c.founding.take(c, now, e)
-		default:
-			c.voted(now, c.voter.Step(now, e))
-		}
-	case *schema.Envelope_Promise, *schema.Envelope_Accepted:
-		if e.Founding {
-			c.founding.answered(c, now, e)
-		} else {
-			c.proposed(now, c.proposer.Step(now, e))
-		}
 	case *schema.Envelope_Look:
 		c.look(now, e.From, b.Look)
 	case *schema.Envelope_LookReturn:
+		if b.LookReturn.Membership != nil {
+			c.adopt(now, paxos.ReadMembership(b.LookReturn.Membership))
+		}
 		c.view.Step(now, e.From, b.LookReturn)
 		c.learned(now)
-		if c.takes() && e.From != c.self {
-			c.voted(now, c.voter.Step(now, e))
-		}
-		if len(b.LookReturn.Voters) > 0 {
-			c.adopt(now, b.LookReturn.Voters)
-		}
 	case *schema.Envelope_Announced:
 		c.merge(now, b.Announced.Instances)
 		if b.Announced.Number > 0 {
@@ -351,8 +340,8 @@
 	c.tryDisk(now)
 	if c.takes() {
 		c.voted(now, c.voter.Tick(now))
-		c.founding.tick(c, now)
 	}
+	c.membershipTick(now)
 	c.proposed(now, c.proposer.Tick(now))
 	c.send(c.view.Tick(now, c.report)...)
 	c.drain(now)
@@ -386,7 +375,7 @@
 func (c *Core) setDue(now int64) {
 	d := min(c.proposer.Due(), c.view.Due(), c.nextCmp, c.nextGone, c.nextAll, c.moveDue(c.lastStep))
 	if c.takes() {
-		d = min(d, c.voter.Due(), c.founding.due(now))
+		d = min(d, c.voter.Due())
 	}
 	if c.ill && c.diskAt > 0 {
 		d = min(d, c.diskAt)
--- a/coordinator/leadership.go
+++ b/coordinator/leadership.go
@@ -24,6 +24,7 @@
 	told    uint64                    // newest cleared that the others were told
 	insts   map[string]ports.Instance // announced, and those that are gone
 	order   []string                  // control processes, first the one that carries changes out
+	ranked  uint64                    // number of the membership that order is of
 	putting int64                     // when a change of its move was put to the vote, 0 for none
 	dirty   bool
 }
@@ -51,6 +52,9 @@
 // clearedHere says whether no node that this voter sent a return before it
 // accepted the sealing relies on that return any more (design 14.6).
 func (c *Core) clearedHere(now int64, n string, g *group) bool {
+	if c.activated > 0 && now-c.activated < voterview.WaitUs {
+		return false // what voters of the membership before returned is not known
+	}
 	if now-g.at >= voterview.WaitUs {
 		return true
 	}
@@ -113,7 +117,7 @@
 }
 
 func (c *Core) groupsTick(now int64) {
-	if !c.formed {
+	if !c.votes() {
 		return
 	}
 	all := now >= c.nextAll
@@ -135,7 +139,8 @@
 
 func (c *Core) groupTick(now int64, n string, g *group) {
 	g.dirty = false
-	if len(g.order) != len(c.view.Voters()) || !slices.Contains(g.order, c.view.Voters()[0]) {
+	if number := c.view.Membership().Number; g.ranked != number || len(g.order) != len(c.view.Voters()) {
+		g.ranked = number
 		g.order = step.Rank("change/"+n, c.view.Voters())
 	}
 	k := voterview.LeaderPrefix + n
--- a/coordinator/moves.go
+++ b/coordinator/moves.go
@@ -71,7 +71,7 @@
 // looked within the time that a lease may last works by it; and what this voter
 // returns from now on shows that its disk holds it (design 15.3).
 func (c *Core) allHere(now int64) uint64 {
-	if !c.formed || now-c.began < voterview.WaitUs {
+	if !c.votes() || now-c.began < voterview.WaitUs || c.activated > 0 && now-c.activated < voterview.WaitUs {
 		return 0 // what an earlier run returned is not known
 	}
 	low := min(c.voter.Cell(voterview.TableKey).GetValue().GetRevision(), c.tableRev)
@@ -423,7 +423,7 @@
 
 // moveDue is when the oldest look that a staged move waits for falls out.
 func (c *Core) moveDue(now int64) int64 {
-	if !c.formed || !c.staged() {
+	if !c.votes() || !c.staged() {
 		return math.MaxInt64
 	}
 	d := int64(math.MaxInt64)
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -21,7 +21,6 @@
 	run      uint64
 	leaving  bool
 	bodies   bool
-	counts   bool // a control process that counts
 	sights   []*schema.Sighting
 	words    map[string]*schema.GroupWord
 	tables   map[uint64]tableSeen // of each run
@@ -63,24 +62,21 @@
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
 	}
-	f.returned, f.counts = now, m.Counts
+	f.returned = now
 	c.send(step.Send{To: from, Env: c.news(from, f, m.Number)})
 	f.seq = c.seq // what does not arrive shows in the next look
 }
 
 // news is what changed since a follower's last look.
 func (c *Core) news(to string, f *follower, number uint64) *schema.Envelope {
-	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Formed: c.formed,
+	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Active: c.active,
 		Nodes: uint32(c.nodes()), Bodies: f.bodies}
-	if ss := c.voter.Standings(); !slices.EqualFunc(ss, c.stood, func(a, b *schema.Standing) bool { return a.Voter == b.Voter && a.Generation == b.Generation }) || c.rostered != c.formed || c.voters != len(c.voter.Voters()) {
-		c.stood, c.rostered, c.voters = ss, c.formed, len(c.voter.Voters())
-		c.seq++
-		c.stoodSeq = c.seq
-		r.Seq = c.seq
-	}
-	if f.seq < c.stoodSeq {
+	if f.seq < c.membershipSeq || number > 0 && f.seq == 0 {
 		// Those who have heard it keep it.
-		r.Standings, r.Voters, r.Zone = c.stood, slices.Sorted(slices.Values(c.voter.Voters())), c.boot.Zone
+		r.Zone, r.Disk = c.boot.Zone, c.voter.Life()
+		if m := c.view.Membership(); m.Known() {
+			r.Membership = m.Message()
+		}
 	}
 	if f.seq < c.seq {
 		for _, k := range slices.Sorted(maps.Keys(c.seqs)) {
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -27,8 +27,12 @@
 	lineLength  = 4096
 	mostAtOnce  = 128
 	promoteWait = 1500 * time.Millisecond
-	leaveWait   = 400 * time.Millisecond
-	openAgain   = 500 * time.Millisecond
+	leaveWait   = 400_000 // microseconds
+	leaveTick   = 100 * time.Millisecond
+	// leaveReserve is what is left of the time until the kill when a process that
+	// could not hand its vote over ends.
+	leaveReserve = 700_000
+	openAgain    = 500 * time.Millisecond
 )
 
 // Process is one control process.
@@ -101,9 +105,9 @@
 
 // restore opens the voter's log and makes the core of what it holds.
 func (p *Process) restore() (*Core, error) {
-	// The nonce is this disk's, should it be empty; the run is told from any other
+	// The first number is this disk's identity, should it be empty; the run is told from any other
 	// by chance and not by the time of day, which may step back.
-	var r [12]byte
+	var r [16]byte
 	if _, err := rand.Read(r[:]); err != nil {
 		return nil, err
 	}
@@ -125,7 +129,7 @@
 		return nil, err
 	}
 	p.store = newWriter(st, p.post)
-	return Restore(p.boot, es, binary.LittleEndian.Uint32(r[:]), binary.LittleEndian.Uint64(r[4:])|1), nil
+	return Restore(p.boot, es, binary.LittleEndian.Uint64(r[:])|1, binary.LittleEndian.Uint64(r[8:])|1), nil
 }
 
 // Run serves until the context ends, then leaves in order.
@@ -152,7 +156,7 @@
 	t := time.NewTimer(0)
 	defer t.Stop()
 	done := ctx.Done()
-	var end <-chan time.Time
+	var leave leaving
 	var evs []any
 	for {
 		evs = evs[:0]
@@ -162,9 +166,8 @@
 		case <-done:
 			done = nil
 			evs = append(evs, Stop{})
-			end = time.After(leaveWait)
-		case <-end:
-			return nil
+			leave = p.beginLeaving()
+		case <-leave.tick:
 		case <-t.C:
 		case e := <-p.in:
 			evs = append(evs, e)
@@ -178,10 +181,34 @@
 			}
 		}
 		p.step(evs)
+		if leave.over(p) {
+			return nil
+		}
 		t.Reset(time.Duration(max(p.core.Due()-p.nowUs(), 0)) * time.Microsecond)
 	}
 }
 
+// leaving is a process's way out: it hands its vote over where another may take it.
+type leaving struct {
+	tick        <-chan time.Time
+	least, most int64 // by the process's monotonic time
+}
+
+func (p *Process) beginLeaving() leaving {
+	least := p.nowUs() + leaveWait
+	return leaving{tick: time.Tick(leaveTick), least: least, most: max(least, p.nowUs()+p.boot.Bounds.GraceUs-leaveReserve)}
+}
+
+// over reports whether the process may end: its vote is handed over, or nobody is
+// there to take it, or the time that it was given is nearly over.
+func (l leaving) over(p *Process) bool {
+	if l.tick == nil {
+		return false
+	}
+	now := p.nowUs()
+	return now >= l.least && p.core.MayEnd(now) || now >= l.most
+}
+
 func (p *Process) take(e *schema.Envelope) {
 	select {
 	case p.in <- e:
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -20,7 +20,7 @@
 // table's items.
 func (c *Core) State(now int64, whole bool) fleetstate.State {
 	s := fleetstate.State{Name: c.boot.Name, Kind: fleetstate.KindControl, Zone: c.boot.Zone, Node: c.self, Run: c.run, Leaving: c.leaving,
-		Ready: c.voter.Formed(), Voters: c.view.VoterStates(now), LeaseLeftUs: c.view.LeaseUntil() - now,
+		Ready: c.votes(), Membership: c.view.Membership().Number, Candidates: c.candidateStates(now), Voters: c.view.VoterStates(now), LeaseLeftUs: c.view.LeaseUntil() - now,
 		Registers: c.view.RegisterStates(), Table: fleetstate.Routing(c.table, c.tableRev, whole)}
 	for i := range s.Registers {
 		r := &s.Registers[i]
@@ -32,6 +32,14 @@
 	return s
 }
 
+func (c *Core) candidateStates(now int64) []fleetstate.Candidate {
+	var out []fleetstate.Candidate
+	for _, o := range c.voter.Candidates(now, candidateFor) {
+		out = append(out, fleetstate.Candidate{Node: o.Address, Zone: o.Zone, Disk: fleetstate.DiskName(o.Life), Counts: o.Counts, HeardUs: now - o.At})
+	}
+	return out
+}
+
 func (c *Core) databaseStates(now int64) []fleetstate.Database {
 	ds := []fleetstate.Database{}
 	c.insts.Each(voterview.DatabasePrefix, func(r *schema.Record) {
@@ -49,7 +57,7 @@
 	ls := []fleetstate.Leadership{}
 	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
 		k := voterview.LeaderPrefix + n
-		s := fleetstate.Leadership{Group: n, Doubt: c.view.Doubt(k), Phase: "none", Acts: c.formed && c.owner(now, n)}
+		s := fleetstate.Leadership{Group: n, Doubt: c.view.Doubt(k), Phase: "none", Acts: c.votes() && c.owner(now, n)}
 		if v, ok := c.view.Agreed(k); ok {
 			l := voterview.Leadership(v)
 			s.Revision, s.Term, s.Primary, s.Address, s.Phase = v.Revision, l.Term, l.Primary, l.Address, fleetstate.PhaseName(ports.Phase(l.Phase))
--- a/coordinator/voting.go
+++ b/coordinator/voting.go
@@ -12,7 +12,7 @@
 	mark   uint64
 	sends  []step.Send
 	cells  []*schema.Cell
-	formed bool
+	active uint64
 }
 
 // synced lets go of what waited for entries that are on disk now.
@@ -34,11 +34,12 @@
 		c.bump(d.Key)
 		c.accepted(now, d.Key)
 	}
-	if h.formed != c.formed {
-		c.formed = h.formed
-		c.changed = true
-		if h.formed {
-			c.say(result.VoterFormed, "%s", c.self)
+	if h.active != c.active {
+		c.active = h.active
+		c.noteMembership()
+		if h.active > 0 {
+			c.activated = now
+			c.say(result.VoterFormed, "%s votes under membership %d", c.self, h.active)
 		}
 	}
 	c.send(h.sends...)
@@ -60,8 +61,11 @@
 // voted holds what a voter's step asks for until its entries, and those of the
 // steps before it, are on disk.
 func (c *Core) voted(now int64, fx paxos.Effects) {
-	h := held{sends: fx.Send, formed: c.voter.Formed()}
-	for _, k := range fx.Chosen {
+	h := held{sends: fx.Send, active: c.voter.Active()}
+	for _, k := range fx.Accepted {
+		if k == paxos.MembershipKey {
+			continue // told as a membership once it is chosen
+		}
 		h.cells = append(h.cells, c.voter.Cell(k))
 	}
 	c.hold(now, fx.Log, h)
@@ -78,7 +82,7 @@
 		c.release(now, h)
 		return
 	}
-	if len(log) > 0 || len(h.sends) > 0 || len(h.cells) > 0 {
+	if len(log) > 0 || len(h.sends) > 0 || len(h.cells) > 0 || h.active != c.active {
 		c.held = append(c.held, h)
 	}
 }
@@ -102,16 +106,20 @@
 	c.ask(now, paxos.Change{Name: c.name(), Key: key, Read: true, Deadline: now + changeExpiry}, f)
 }
 
+// votes reports whether this process's acceptor votes, as far as its disk says so.
+func (c *Core) votes() bool { return c.active > 0 }
+
 // catchUp settles registers of which a voter holds more than is known as agreed:
-// whoever made the revision may have died before a majority had it.
+// whoever made the revision may have died before a majority had it. So it does with
+// those that were accepted under an earlier membership.
 func (c *Core) catchUp(now int64) {
-	if !c.formed || now < c.nextCatch {
+	if !c.votes() || now < c.nextCatch {
 		return
 	}
 	c.nextCatch = now + catchUpEvery/2
 	for _, k := range c.voter.Keys() {
 		switch {
-		case !c.view.Doubt(k):
+		case !c.view.Doubt(k) && !c.voter.Stale(k):
 			delete(c.catching, k)
 		case c.catching[k] == 0:
 			c.catching[k] = now + catchUpEvery + int64(step.Hash(c.self, k)%catchUpEvery)
@@ -122,10 +130,5 @@
 	}
 }
 
-// Snapshot is the whole state of the voter, and of the founding ballots, as one
-// entry of the log.
-func (c *Core) Snapshot() *schema.VoterLog {
-	l := c.voter.Snapshot()
-	l.Founding = c.founding.snapshot()
-	return l
-}
+// Snapshot is the whole state of the acceptor as one entry of the log.
+func (c *Core) Snapshot() *schema.VoterLog { return c.voter.Snapshot() }
--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -3,7 +3,11 @@
 // together only when somebody asks.
 package fleetstate
 
-import "stoneford/ports"
+import (
+	"fmt"
+
+	"stoneford/ports"
+)
 
 // Kinds of processes.
 const (
@@ -26,11 +30,15 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	Ready   bool   `json:"ready"` // a control process votes, a pool node could serve
 
+	Membership  uint64     `json:"membership"` // number of the newest that the process knows, 0 for none
 	Voters      []Voter    `json:"voters"`
 	LeaseLeftUs int64      `json:"lease_left_us"` // 0 and below: it has run out
 	Registers   []Register `json:"registers"`
 	Table       Table      `json:"table"`
 
+	// Candidates are the processes that asked this voter to vote too.
+	Candidates []Candidate `json:"candidates,omitempty"`
+
 	Control *Control `json:"control,omitempty"`
 	Pool    *Pool    `json:"pool,omitempty"`
 }
@@ -40,12 +48,26 @@
 	Node       string `json:"node"`
 	Zone       string `json:"zone,omitempty"`
 	Self       bool   `json:"self,omitempty"`
-	Generation uint64 `json:"generation"` // grows each time its disk is lost, 0 unknown
-	Formed     bool   `json:"formed"`
-	HeardUs    int64  `json:"heard_us"` // how long ago, Never if not at all
+	Disk       string `json:"disk,omitempty"` // identity of its disk, in hexadecimal; another after a loss
+	Votes      bool   `json:"votes"`          // under the newest membership
+	Membership uint64 `json:"membership"`     // number of the one that it votes under, 0 for none
+	Behind     int    `json:"behind"`         // registers of which it is not known to hold the newest revision
+	HeardUs    int64  `json:"heard_us"`       // how long ago, Never if not at all
 	Run        uint64 `json:"run"`
 }
 
+// Candidate is a control process that does not vote and asks to.
+type Candidate struct {
+	Node    string `json:"node"`
+	Zone    string `json:"zone,omitempty"`
+	Disk    string `json:"disk"`
+	Counts  bool   `json:"counts"`   // it is of those whose loss is counted
+	HeardUs int64  `json:"heard_us"` // since it last asked
+}
+
+// DiskName is the identity of a disk as operators are shown it.
+func DiskName(life uint64) string { return fmt.Sprintf("%016x", life) }
+
 // Register is one agreed value.
 type Register struct {
 	Key      string `json:"key"`
--- a/fleetstate/tables.go
+++ b/fleetstate/tables.go
@@ -106,12 +106,32 @@
 }
 
 func (s State) voters(t tables) {
-	t.row("  VOTER", "ZONE", "GENERATION", "FORMED", "HEARD")
+	t.row("  VOTER", "ZONE", "DISK", "VOTES", "BEHIND", "HEARD")
 	for _, v := range s.Voters {
-		t.row("  "+v.Node+yes(v.Self, " (itself)"), v.Zone, v.Generation, v.Formed, span(v.HeardUs))
+		t.row("  "+v.Node+yes(v.Self, " (itself)"), v.Zone, v.Disk, v.Votes, v.Behind, span(v.HeardUs))
 	}
 }
 
+// WriteVoters writes who votes, as each process asked knows it, and who asks to.
+func WriteVoters(w io.Writer, rs []Reply) error {
+	t := newTables(w)
+	for _, r := range rs {
+		if r.Err != nil {
+			fmt.Fprintf(t, "%s is silent: %v\n", r.At, r.Err)
+			continue
+		}
+		fmt.Fprintf(t, "%s knows membership %d\n", r.State.Name, r.State.Membership)
+		r.State.voters(t)
+		if len(r.State.Candidates) > 0 {
+			t.row("  ASKS TO VOTE", "ZONE", "DISK", "COUNTS", "HEARD")
+		}
+		for _, c := range r.State.Candidates {
+			t.row("  "+c.Node, c.Zone, c.Disk, c.Counts, span(c.HeardUs))
+		}
+	}
+	return t.Flush()
+}
+
 func (s State) registers(t tables) {
 	t.row("  REGISTER", "REVISION", "SEEN", "ACCEPTED HERE", "CHANGED BY")
 	for _, r := range s.Registers {
--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -60,7 +60,7 @@
 	states     map[string]*schema.StateResponse // towards membership
 	candidates map[string]Candidate
 	nextSend   int64
-	logged     bool // the identity is on disk
+	logged     bool // the identity and the founders are on disk
 	leaving    bool
 }
 
@@ -122,8 +122,8 @@
 		a.life, a.logged = l.Life, true
 		a.lives = map[string]uint64{a.self: l.Life}
 	}
-	for _, f := range l.Founders {
-		a.lives[f.Address] = f.Life
+	if len(l.Founders) > 0 {
+		a.restoreFounders(l.Founders)
 	}
 	for _, c := range l.Cells {
 		a.registers[c.Key] = &register{promised: copyBallot(c.Promised), accepted: copyBallot(c.Accepted), value: c.Value}
@@ -140,7 +140,7 @@
 	if a.membership.Known() {
 		l.Membership = a.membership.Message()
 	} else {
-		l.Founders = voterList(a.lives)
+		l.Founders = a.knownFounders()
 	}
 	return l
 }
@@ -193,10 +193,6 @@
 		return fx
 	}
 	a.nextSend = now + requestEvery
-	if !a.logged {
-		a.logged = true
-		fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life})
-	}
 	switch {
 	case a.membership.Has(a.self, a.life):
 		a.requestState(&fx)
--- a/paxos/founding.go
+++ b/paxos/founding.go
@@ -12,6 +12,9 @@
 
 // found tells the other founders which disks this one knows to be theirs.
 func (a *Acceptor) found(fx *Effects) {
+	if !a.logged {
+		a.logFounders(fx)
+	}
 	for _, f := range a.founders {
 		if f != a.self {
 			a.send(fx, f, &schema.Envelope{Body: &schema.Envelope_Found{
@@ -37,13 +40,38 @@
 	report := voterMap(m.Voters)
 	if a.lives[from] != report[from] {
 		a.lives[from] = report[from]
-		fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life, Founders: voterList(a.lives)})
+		a.logFounders(fx)
 		a.nextSend = 0
 	}
 	a.reports[from] = report
 	a.form(fx)
 }
 
+// logFounders keeps who founds, and whose disks are known, over a restart.
+func (a *Acceptor) logFounders(fx *Effects) {
+	a.logged = true
+	fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life, Founders: a.knownFounders()})
+}
+
+// knownFounders are the founders, with the identities of those disks that are known.
+func (a *Acceptor) knownFounders() []*schema.Voter {
+	var out []*schema.Voter
+	for _, f := range a.founders {
+		out = append(out, &schema.Voter{Address: f, Life: a.lives[f]})
+	}
+	return out
+}
+
+func (a *Acceptor) restoreFounders(founders []*schema.Voter) {
+	a.founders = nil
+	for _, f := range founders {
+		a.founders = append(a.founders, f.Address)
+		if f.Life != 0 {
+			a.lives[f.Address] = f.Life
+		}
+	}
+}
+
 // form makes the first membership once all founders know the same disks. A founder
 // that has formed never reports anything else, so any two that form with each other's
 // disks as they are form the same one.
--- a/paxos/membership.go
+++ b/paxos/membership.go
@@ -103,6 +103,8 @@
 	Zones      map[string]string // of each voter, as far as known, by address
 	Regions    map[string]string
 	Target     int // voters needed for what may be lost
+	// Most voters in one zone or region, 0 for any number.
+	MostInZone, MostInRegion int
 }
 
 // Plan is the membership that should follow, and whether one should at all. A
@@ -129,25 +131,52 @@
 	for len(next) < s.Target && len(next)+len(spare) >= s.Target {
 		take(next, spare, s, "")
 	}
+	spread(next, spare, s.Zones, s.MostInZone, func(c Candidate) string { return c.Zone }, s)
+	spread(next, spare, s.Regions, s.MostInRegion, func(c Candidate) string { return c.Region }, s)
 	if maps.Equal(next, current.Voters) {
 		return Membership{}, false
 	}
 	return current.Next(next), true
 }
 
+// spread replaces voters of zones, or regions, that hold more than the most allowed
+// by candidates elsewhere, so that the loss of any one leaves a majority.
+func spread(next map[string]uint64, spare map[string]Candidate, places map[string]string, most int, place func(Candidate) string, s Survey) {
+	if most == 0 {
+		return
+	}
+	for _, address := range slices.Sorted(maps.Keys(next)) {
+		elsewhere := maps.Clone(spare)
+		maps.DeleteFunc(elsewhere, func(_ string, c Candidate) bool { return inPlace(next, places, place(c)) >= most })
+		if inPlace(next, places, places[address]) <= most || len(elsewhere) == 0 {
+			continue
+		}
+		delete(next, address)
+		before := maps.Clone(elsewhere)
+		take(next, elsewhere, s, "")
+		for o := range before {
+			if _, left := elsewhere[o]; !left {
+				delete(spare, o)
+			}
+		}
+	}
+}
+
+// inPlace is how many of the voters stand in a zone or region.
+func inPlace(voters map[string]uint64, places map[string]string, place string) int {
+	n := 0
+	for address := range voters {
+		if places[address] == place {
+			n++
+		}
+	}
+	return n
+}
+
 // take moves the best of the spare candidates to the voters: the one whose zone
 // and region hold the fewest of them, and of equals one in the place of the voter
 // that it replaces.
 func take(next map[string]uint64, spare map[string]Candidate, s Survey, replaced string) {
-	count := func(places map[string]string, place string) int {
-		n := 0
-		for address := range next {
-			if places[address] == place {
-				n++
-			}
-		}
-		return n
-	}
 	elsewhere := func(c Candidate) int {
 		if replaced != "" && s.Zones[replaced] == c.Zone {
 			return 0
@@ -156,8 +185,8 @@
 	}
 	best := slices.MinFunc(slices.Collect(maps.Values(spare)), func(a, b Candidate) int {
 		return cmp.Or(
-			cmp.Compare(count(s.Regions, a.Region), count(s.Regions, b.Region)),
-			cmp.Compare(count(s.Zones, a.Zone), count(s.Zones, b.Zone)),
+			cmp.Compare(inPlace(next, s.Regions, a.Region), inPlace(next, s.Regions, b.Region)),
+			cmp.Compare(inPlace(next, s.Zones, a.Zone), inPlace(next, s.Zones, b.Zone)),
 			cmp.Compare(elsewhere(a), elsewhere(b)),
 			cmp.Compare(a.Address, b.Address))
 	})
--- a/pool/core.go
+++ b/pool/core.go
@@ -13,10 +13,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"stoneford/paxos"
 	"stoneford/bookings"
 	"stoneford/control"
 	"stoneford/neighbours"
+	"stoneford/paxos"
 	"stoneford/permits"
 	"stoneford/querytable"
 	"stoneford/records"
--- a/result/result.go
+++ b/result/result.go
@@ -81,6 +81,7 @@
 	VoterSilent          Code = 518
 	VoterBack            Code = 519
 	MoveAdvanced         Code = 520
+	MembershipChosen     Code = 521
 )
 
 // Row is one code's line in the table.
@@ -155,6 +156,7 @@
 	{VoterSilent, 0, "the disk refused what this voter has to keep: it does not vote until the disk takes it", "look at the disk; the other voters go on"},
 	{VoterBack, 0, "the disk takes what this voter has to keep: it votes again", "nothing"},
 	{MoveAdvanced, 0, "a group's move between sites went on to its next phase", "nothing; docs/moves.md if it stays staged or failed"},
+	{MembershipChosen, 0, "another set of control processes votes from now on", "nothing; `stoneford fleet voters` shows them"},
 }
 
 var rows = func() map[Code]Row {
--- a/standin/scale-run/scale/traffic.go
+++ b/standin/scale-run/scale/traffic.go
@@ -39,8 +39,8 @@
 		return "repair"
 	case *schema.Envelope_Prepare, *schema.Envelope_Promise, *schema.Envelope_Accept, *schema.Envelope_Accepted:
 		return "ballots"
-	case *schema.Envelope_Join, *schema.Envelope_JoinReturn:
-		return "join"
+	case *schema.Envelope_Found, *schema.Envelope_JoinRequest, *schema.Envelope_StateRequest, *schema.Envelope_StateResponse, *schema.Envelope_MembershipNotice:
+		return "membership"
 	}
 	return "other"
 }
--- a/voterview/state.go
+++ b/voterview/state.go
@@ -12,15 +12,16 @@
 	out := make([]fleetstate.Voter, 0, len(v.voters))
 	for _, o := range v.voters {
 		x := v.vs[o]
-		s := fleetstate.Voter{Node: o, Self: o == v.self, Zone: x.zone, Formed: x.formed, Run: x.life, HeardUs: fleetstate.Never}
+		s := fleetstate.Voter{Node: o, Self: o == v.self, Zone: x.zone, Votes: v.counts(o, x), Membership: x.active, Run: x.life, HeardUs: fleetstate.Never}
+		if x.disk != 0 {
+			s.Disk = fleetstate.DiskName(x.disk)
+		}
 		if x.heard > 0 {
 			s.HeardUs = max(now-x.heard, 0)
 		}
-		for _, y := range v.vs { // what any of them knows of its disk
-			for _, g := range y.standings {
-				if g.Voter == o {
-					s.Generation = max(s.Generation, g.Generation>>32)
-				}
+		for k, revision := range v.seen {
+			if x.cells[k].GetValue().GetRevision() < revision {
+				s.Behind++
 			}
 		}
 		out = append(out, s)
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -42,20 +42,23 @@
 	bodyWait  = 300_000 // a body may come so much later than the word that it was agreed
 	// numberShift keeps the numbers of looks short on the wire.
 	numberShift = 28
+	// contactsAfter is how long a lease may be missing until the contacts are asked
+	// too.
+	contactsAfter = 500_000
 )
 
 type voter struct {
-	life      uint64
-	number    uint64 // newest look that this life returned
-	seq       uint64
-	formed    bool
-	standings []*schema.Standing
-	cells     map[string]*schema.Cell
-	heard     int64
-	nodes     int
-	zone      string
-	told      map[string]told                // of each group, as this run of it heard
-	sent      map[uint64][]*schema.GroupWord // by look
+	life   uint64
+	number uint64 // newest look that this life returned
+	seq    uint64
+	active uint64 // number of the membership that it votes under
+	disk   uint64 // identity of its disk
+	cells  map[string]*schema.Cell
+	heard  int64
+	nodes  int
+	zone   string
+	told   map[string]told                // of each group, as this run of it heard
+	sent   map[uint64][]*schema.GroupWord // by look
 }
 
 type told struct {
@@ -89,15 +92,17 @@
 type View struct {
 	self, name, zone, kind string
 	run                    uint64
-	voters                 []string
+	contacts               []string         // asked while no lease is to be had from the voters
+	membership             paxos.Membership // newest known to be chosen
+	voters                 []string         // its addresses; the contacts while none is known
 	vs                     map[string]*voter
 	looks                  []look
 	first, number          uint64 // looks sent by this run: (first, number]
-	counts                 bool
 	chosen                 map[string]Chosen
 	seen                   map[string]uint64 // newest revision any voter holds
 	insts                  map[string]*schema.Record
 	leaseUntil             int64
+	forgotten              int64 // when what a voter held was dropped, 0 if nothing was since the last lease
 	next                   int64
 	last                   int64
 	urgent                 bool
@@ -109,42 +114,82 @@
 	moved   bool            // databases
 }
 
-// New makes a view; voters are the addresses of the voters known at the start,
+// New makes a view; contacts are the addresses that are asked who the voters are,
 // run tells this run of the process from any other. Runs have no order: the time
 // of day that they might be taken from can step back.
-func New(self string, voters []string, zone, name, kind string, run uint64) *View {
+func New(self string, contacts []string, zone, name, kind string, run uint64) *View {
 	// Looks are counted from a place of the run's own, so that what is returned to
 	// an earlier run's look is not taken for a return to one of this run's.
 	first := step.Hash("look", self, strconv.FormatUint(run, 10)) >> numberShift
 	v := &View{self: self, name: name, zone: zone, kind: kind, run: run, first: first, number: first, vs: map[string]*voter{}, chosen: map[string]Chosen{},
 		seen: map[string]uint64{}, insts: map[string]*schema.Record{}, changed: map[string]bool{}, missing: map[string]int64{}}
-	v.setVoters(voters)
+	v.contacts = slices.Clone(contacts)
+	v.setVoters(contacts)
 	return v
 }
 
-// SetVoters takes who the voters are, once that is known otherwise.
-func (v *View) SetVoters(vs []string) {
-	v.setVoters(vs)
-	v.urgent = true
+// SetContacts takes other addresses to ask who the voters are.
+func (v *View) SetContacts(contacts []string) {
+	v.contacts = slices.Clone(contacts)
+	if !v.membership.Known() {
+		v.setVoters(contacts)
+	}
 }
 
-// SetCounts says that this process is one of those that count for what can be
-// lost; it tells the voters so.
-func (v *View) SetCounts(counts bool) { v.counts = counts }
+// SetMembership takes a membership that is known to be chosen and reports whether
+// it is newer than the one known before.
+func (v *View) SetMembership(now int64, m paxos.Membership) bool {
+	if m.Number <= v.membership.Number {
+		return false
+	}
+	v.now = max(v.now, now)
+	v.membership = m
+	v.setVoters(m.Addresses())
+	v.urgent = true
+	return true
+}
 
-func (v *View) setVoters(vs []string) {
-	v.voters = slices.Clone(vs)
-	for _, o := range vs {
+func (v *View) setVoters(addresses []string) {
+	v.voters = slices.Clone(addresses)
+	for _, o := range addresses {
 		if v.vs[o] == nil {
 			v.vs[o] = &voter{cells: map[string]*schema.Cell{}}
 		}
 	}
-	maps.DeleteFunc(v.vs, func(o string, _ *voter) bool { return !slices.Contains(vs, o) })
+	for o := range v.vs {
+		if !slices.Contains(addresses, o) {
+			delete(v.vs, o)
+			v.forgotten = v.now
+		}
+	}
 }
 
-// Voters are the voters' addresses.
+// Membership is the newest membership known to be chosen.
+func (v *View) Membership() paxos.Membership { return v.membership }
+
+// Voters are the voters' addresses, or those asked for them while none are known.
 func (v *View) Voters() []string { return v.voters }
 
+// Active reports whether a voter said that it votes under the newest membership.
+func (v *View) Active(address string) bool {
+	x := v.vs[address]
+	return x != nil && v.counts(address, x)
+}
+
+// Zone is the zone that a voter said it is in, empty if it did not say.
+func (v *View) Zone(address string) string {
+	if x := v.vs[address]; x != nil {
+		return x.zone
+	}
+	return ""
+}
+
+// counts reports whether a voter's word counts: it votes under the newest
+// membership known here, with the disk that is named there.
+func (v *View) counts(address string, x *voter) bool {
+	return v.membership.Known() && x.active == v.membership.Number && v.membership.Has(address, x.disk)
+}
+
 // LeaseUntil is until when the leaderships are surely the newest that were acted
 // upon, by this process's clock, but for those in doubt.
 func (v *View) LeaseUntil() int64 { return v.leaseUntil }
@@ -200,7 +245,7 @@
 	if now < v.Due() {
 		return nil
 	}
-	v.urgent, v.last = false, now
+	v.urgent, v.last, v.now = false, now, now
 	v.next = now + lookEvery
 	if v.leaseUntil < now+lookEvery {
 		v.next = now + lookAgain
@@ -228,9 +273,25 @@
 		}
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
-			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws, Counts: v.counts,
+			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws,
 			Table: rep.Table, All: rep.All, Behind: rep.Behind}}}})
 	}
+	return append(out, v.askContacts(now)...)
+}
+
+// askContacts asks those who are no voters, as far as known here, whether they know
+// a newer membership: the voters known may all have been replaced.
+func (v *View) askContacts(now int64) []step.Send {
+	if !v.membership.Known() || now-v.leaseUntil < contactsAfter {
+		return nil
+	}
+	var out []step.Send
+	for _, o := range v.contacts {
+		if v.vs[o] == nil && o != v.self {
+			out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
+				Number: v.number, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run}}}})
+		}
+	}
 	return out
 }
 
@@ -270,6 +331,9 @@
 // Step takes a voter's return, or news it sent unasked.
 func (v *View) Step(now int64, from string, m *schema.LookReturn) {
 	v.now = now
+	if m.Membership != nil {
+		v.SetMembership(now, paxos.ReadMembership(m.Membership))
+	}
 	x := v.vs[from]
 	if x == nil || m.Number > 0 && (m.Number <= v.first || m.Number > v.number) {
 		return // not a voter, or not to a look of this run
@@ -290,21 +354,15 @@
 		}
 		// What it said before it says anew.
 		*x = voter{life: m.Life, cells: map[string]*schema.Cell{}}
+		v.forgotten = now
 	} else if m.Since > x.seq {
 		v.urgent = true // something before it was lost: ask for it
 		return
 	}
 	x.number = max(x.number, m.Number)
-	if len(m.Voters) > 0 && !slices.Equal(m.Voters, v.voters) {
-		v.setVoters(m.Voters) // agreed once for good (design 3.6)
-		if x = v.vs[from]; x == nil {
-			v.urgent = true
-			return
-		}
-	}
-	x.heard, x.formed, x.nodes = now, m.Formed, int(m.Nodes)
-	if len(m.Standings) > 0 {
-		x.standings, x.zone = m.Standings, m.Zone // else as it said before
+	x.heard, x.active, x.nodes = now, m.Active, int(m.Nodes)
+	if m.Membership != nil {
+		x.disk, x.zone = m.Disk, m.Zone // else as it said before
 	}
 	x.seq = max(x.seq, m.Seq)
 	for _, c := range m.Cells {
@@ -341,24 +399,25 @@
 	v.settle(c.Key)
 }
 
-// settle looks whether a majority of voters accepted one ballot of a key.
+// settle looks whether a majority of voters accepted one ballot of a key under
+// the newest membership.
 func (v *View) settle(k string) {
 	for _, x := range v.vs {
 		c := x.cells[k]
-		if c == nil || c.Value.GetRevision() <= v.chosen[k].Revision {
+		if c == nil || c.Value.GetRevision() <= v.chosen[k].Revision || c.Accepted.GetMembership() != v.membership.Number {
 			continue
 		}
-		by := map[string][]*schema.Standing{}
+		count := 0
 		var data []byte
 		for o, y := range v.vs {
-			if d := y.cells[k]; d != nil && y.formed && paxos.Same(d.Accepted, c.Accepted) {
-				by[o] = y.standings
+			if d := y.cells[k]; d != nil && v.counts(o, y) && paxos.Same(d.Accepted, c.Accepted) {
+				count++
 				if len(d.Value.GetData()) > 0 {
 					data = d.Value.GetData()
 				}
 			}
 		}
-		if len(paxos.Counted(by)) <= len(v.voters)/2 {
+		if count < v.membership.Quorum() {
 			continue
 		}
 		if data == nil {
@@ -428,19 +487,39 @@
 // so nobody has a lease under a table that is older than one a majority vouched
 // for (design 15.3).
 func (v *View) leased(l look) bool {
-	by := map[string][]*schema.Standing{}
+	count := 0
 	for o := range l.by {
-		if x := v.vs[o]; x != nil && x.formed && x.cells[TableKey].GetValue().GetRevision() <= v.chosen[TableKey].Revision {
-			by[o] = x.standings
+		if x := v.vs[o]; x != nil && v.counts(o, x) && x.cells[TableKey].GetValue().GetRevision() <= v.chosen[TableKey].Revision {
+			count++
 		}
 	}
-	if len(paxos.Counted(by)) <= len(v.voters)/2 {
+	if !v.membership.Known() || count < v.membership.Quorum() {
 		return false
 	}
 	v.leaseUntil = max(v.leaseUntil, l.at+LeaseUs)
+	if v.forgotten > 0 && l.at > v.forgotten {
+		v.forgotten = 0
+		v.recount()
+	}
 	return true
 }
 
+// recount drops doubts about revisions that no voter holds any more: one that a
+// lost disk alone had accepted was never chosen. It is done once a lease rests on
+// what the voters of now hold, and no earlier.
+func (v *View) recount() {
+	for k, revision := range v.seen {
+		held := v.chosen[k].Revision
+		for _, x := range v.vs {
+			held = max(held, x.cells[k].GetValue().GetRevision())
+		}
+		if held < revision {
+			v.seen[k] = held
+			v.changed[k] = true
+		}
+	}
+}
+
 // Instances are the databases announced, in order of their identities; those
 // that are gone are left out.
 func (v *View) Instances() []ports.Instance {
