Voters replaced, handed over, cut off and without power: runs of the control core

Cause: the membership's change was shown by older tests of founding and lost disks only. Ruled out: that a process whose named seeds are all gone stays out (it did: a test showed it; it now asks whoever asks it). Change: replacement until no founder is left with the next loss at once, planned hand-over, leaving with nobody to take the place, cuts with and without a spare, seeds that name no voter, power lost in the middle, leases of the membership before; which membership follows, as a table; removed voters and doubts in views.

--- /dev/null
+++ b/coordinator/membership_test.go
@@ -0,0 +1,358 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"stoneford/paxos"
+	"stoneford/ports"
+)
+
+// catchUpUs is the time after its start in which a process that takes a lost
+// voter's place has to vote, so that the next loss is borne.
+const catchUpUs = 4_000_000
+
+// add has one more machine, with an empty disk, that is told these seeds.
+func (c *cluster) add(number int, lost int, seeds []string) string {
+	b := ports.Boot{Name: fmt.Sprint("m", number), IP: fmt.Sprintf("10.0.0.%d", number), PortFirst: 7440, Seeds: seeds, QuorumMember: true,
+		LostAtOnce: ports.Tolerance{Machines: lost}, Zone: "z"}
+	a := b.ControlNode()
+	c.order = append(c.order, a)
+	c.ms[a] = &member{boot: b}
+	c.start(a)
+	return a
+}
+
+// leave stops a process in order; it ends when it may, or when its time is over.
+func (c *cluster) leave(a string) int64 {
+	began := c.w.Now
+	c.step(a, Stop{})
+	c.run(leaveWait)
+	for c.w.Now-began < 5_300_000 && !c.ms[a].core.MayEnd(c.w.Now) {
+		c.run(50_000)
+	}
+	c.kill(a, true)
+	return c.w.Now - began
+}
+
+// voters are the addresses that all running processes take for the voters.
+func (c *cluster) voters(t *testing.T) []string {
+	t.Helper()
+	var want []string
+	for _, a := range c.order {
+		m := c.ms[a]
+		if !m.up {
+			continue
+		}
+		got := m.core.view.Membership().Addresses()
+		if want == nil {
+			want = got
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("%s takes %v for the voters, another %v", a, got, want)
+		}
+	}
+	return want
+}
+
+// settled has all voters vote.
+func (c *cluster) settled(t *testing.T, size int) []string {
+	t.Helper()
+	vs := c.voters(t)
+	if len(vs) != size {
+		t.Fatalf("%d voters: %v", len(vs), vs)
+	}
+	for _, a := range vs {
+		if m := c.ms[a]; !m.up || !m.core.votes() {
+			t.Fatalf("%s is a voter and does not vote; up %t", a, m.up)
+		}
+	}
+	return vs
+}
+
+// agree has a change agreed through a process.
+func (c *cluster) agree(t *testing.T, a, data string) {
+	t.Helper()
+	if v := c.change(a, "x", data); v != paxos.Agreed {
+		t.Fatalf("a change through %s ended as %d", a, v)
+	}
+}
+
+func (c *cluster) reads(t *testing.T, a, want string) {
+	t.Helper()
+	if got := c.read(a, "x"); got != want {
+		t.Fatalf("%s reads %q, not %q", a, got, want)
+	}
+}
+
+func startCluster(t *testing.T, seed uint64, n, seeds, lost int) *cluster {
+	t.Helper()
+	c := newCluster(t, seed, n, seeds, lost)
+	c.n.Drop, c.n.Double = 0.02, 0.02
+	for _, a := range slices.Clone(c.order) {
+		c.start(a)
+	}
+	c.run(5_000_000)
+	return c
+}
+
+// TestReplacedUntilNoFounderIsLeft: voters are lost for good one after another, each
+// time an empty machine comes at another address a second later; within the time
+// that a newcomer is given the next loss is borne, and so is a lost disk right
+// after it. In the end none of the founders is left.
+func TestReplacedUntilNoFounderIsLeft(t *testing.T) {
+	for seed := range uint64(20) {
+		c := startCluster(t, seed, 3, 3, 1)
+		vs := c.settled(t, 3)
+		c.agree(t, vs[0], "first")
+		for i := range 7 {
+			vs = c.settled(t, 3)
+			victim := vs[c.w.R.IntN(3)]
+			if i < 3 {
+				victim = fmt.Sprintf("10.0.0.%d:7440", i+1) // the founders go first
+			}
+			c.kill(victim, true)
+			c.run(1_000_000)
+			live := slices.DeleteFunc(slices.Clone(vs), func(a string) bool { return !c.ms[a].up })
+			number := 10 + i
+			if i == 6 {
+				number = 1 // an address used before
+			}
+			a := c.add(number, 1, []string{seedOf(live[0]), seedOf(live[1])})
+			c.run(catchUpUs)
+			vs = c.settled(t, 3)
+			if !slices.Contains(vs, a) {
+				t.Fatalf("seed %d: %s does not vote: %v", seed, a, vs)
+			}
+			// The next loss comes at once: a disk, and what was agreed is there.
+			lost := vs[c.w.R.IntN(3)]
+			c.kill(lost, true)
+			other := vs[0]
+			if other == lost {
+				other = vs[1]
+			}
+			c.agree(t, other, fmt.Sprint("after ", i))
+			c.start(lost)
+			c.run(catchUpUs)
+			c.settled(t, 3)
+			c.reads(t, lost, fmt.Sprint("after ", i))
+		}
+		for i := range 3 {
+			if old := c.ms[fmt.Sprintf("10.0.0.%d:7440", i+1)]; i > 0 && old.up {
+				t.Fatalf("seed %d: founder %d is still there", seed, i+1)
+			}
+		}
+	}
+}
+
+// seedOf is the address that a seed is named by for a process.
+func seedOf(a string) string { return a[:len(a)-len(":7440")] + ":8782" }
+
+// TestPlannedReplacement: the newcomer comes first, then the old voter is told to
+// stop. It hands its vote over and goes before its time is over; the loss of
+// another voter right then loses nothing.
+func TestPlannedReplacement(t *testing.T) {
+	for seed := range uint64(20) {
+		c := startCluster(t, seed, 3, 3, 1)
+		vs := c.settled(t, 3)
+		c.agree(t, vs[0], "before")
+		a := c.add(9, 1, c.ms[vs[0]].boot.Seeds)
+		c.run(1_000_000)
+		if got := c.settled(t, 3); slices.Contains(got, a) {
+			t.Fatalf("seed %d: a newcomer votes though nobody is lost: %v", seed, got)
+		}
+		took := c.leave(vs[1])
+		if took > 3_000_000 {
+			t.Errorf("seed %d: it took %d ms to hand a vote over", seed, took/1000)
+		}
+		if got := c.settled(t, 3); !slices.Contains(got, a) {
+			t.Fatalf("seed %d: %v vote", seed, got)
+		}
+		c.kill(vs[0], true)
+		c.agree(t, a, "after")
+		c.reads(t, vs[2], "after")
+	}
+}
+
+// TestLeavingWithNobodyToTakeItsPlace: a voter that is restarted in order does not
+// wait for a successor that is not there, and votes again as it did.
+func TestLeavingWithNobodyToTakeItsPlace(t *testing.T) {
+	c := startCluster(t, 3, 3, 3, 1)
+	vs := c.settled(t, 3)
+	number := c.ms[vs[0]].core.view.Membership().Number
+	c.step(vs[0], Stop{})
+	c.run(leaveWait)
+	if !c.ms[vs[0]].core.MayEnd(c.w.Now) {
+		t.Fatal("it waits for nobody")
+	}
+	c.kill(vs[0], false)
+	c.start(vs[0])
+	c.run(2_000_000)
+	if c.settled(t, 3); c.ms[vs[0]].core.view.Membership().Number != number {
+		t.Fatal("the voters changed")
+	}
+}
+
+// TestNobodyIsReplacedOnAMereCut: where nobody new has come, a voter that is cut
+// off for long stays a voter.
+func TestNobodyIsReplacedOnAMereCut(t *testing.T) {
+	c := startCluster(t, 4, 3, 3, 1)
+	vs := c.settled(t, 3)
+	number := c.ms[vs[0]].core.view.Membership().Number
+	for _, o := range vs[1:] {
+		c.n.Cut(vs[0], o, true)
+		c.n.Cut(o, vs[0], true)
+	}
+	c.run(20_000_000)
+	c.agree(t, vs[1], "without it")
+	c.n.Mend()
+	c.run(2_000_000)
+	if c.settled(t, 3); c.ms[vs[0]].core.view.Membership().Number != number {
+		t.Fatal("the voters changed")
+	}
+	c.reads(t, vs[0], "without it")
+}
+
+// TestACutOffVoterIsReplaced: a voter that is cut off is replaced by a spare; when
+// it is back it finds itself removed, agrees nothing meanwhile, also together with
+// another process that knows the old voters only, and waits as a candidate.
+func TestACutOffVoterIsReplaced(t *testing.T) {
+	for seed := range uint64(10) {
+		c := startCluster(t, seed, 4, 3, 1)
+		vs := c.settled(t, 3)
+		old := vs[0]
+		for _, o := range c.order {
+			if o != old {
+				c.n.Cut(old, o, true)
+				c.n.Cut(o, old, true)
+			}
+		}
+		c.run(4_000_000)
+		for _, o := range c.order {
+			if m := c.ms[o]; o != old && (slices.Contains(m.core.view.Voters(), old) || len(m.core.view.Voters()) != 3) {
+				t.Fatalf("seed %d: %s takes %v for the voters", seed, o, m.core.view.Voters())
+			}
+		}
+		c.agree(t, vs[1], "without it")
+		if v := c.change(old, "x", "behind the cut"); v == paxos.Agreed || v == paxos.Lost {
+			t.Fatalf("seed %d: behind the cut a change ended as %d", seed, v)
+		}
+		if now := c.w.Now; c.ms[old].core.view.LeaseUntil() > now {
+			t.Fatalf("seed %d: it has a lease behind the cut", seed)
+		}
+		c.n.Mend()
+		c.run(2_000_000)
+		if got := c.settled(t, 3); slices.Contains(got, old) {
+			t.Fatalf("seed %d: %v vote", seed, got)
+		}
+		if c.ms[old].core.votes() {
+			t.Fatalf("seed %d: the removed voter votes", seed)
+		}
+		c.reads(t, old, "without it")
+		// It is the spare now.
+		vs = c.settled(t, 3)
+		c.kill(vs[1], true)
+		c.run(catchUpUs)
+		if got := c.settled(t, 3); !slices.Contains(got, old) {
+			t.Fatalf("seed %d: the spare does not vote: %v", seed, got)
+		}
+	}
+}
+
+// TestSeedsThatNameNoVoter: a process that is told of control processes that do not
+// vote, or of voters that are all cut off but one, finds the voters.
+func TestSeedsThatNameNoVoter(t *testing.T) {
+	c := startCluster(t, 6, 5, 3, 1)
+	vs := c.settled(t, 3)
+	var spares []string
+	for _, a := range c.order {
+		if !slices.Contains(vs, a) {
+			spares = append(spares, seedOf(a))
+		}
+	}
+	a := c.add(20, 1, spares)
+	c.run(2_000_000)
+	c.settled(t, 3)
+	c.agree(t, a, "through it")
+	b := c.add(21, 1, []string{seedOf(vs[0]), "10.9.9.9:8782", "10.9.9.8:8782"})
+	c.run(2_000_000)
+	c.reads(t, b, "through it")
+}
+
+// TestPowerLostInTheMiddleOfAReplacement: every process loses its power at some
+// moment while a voter is being replaced; afterwards the voters are agreed and
+// nothing is lost.
+func TestPowerLostInTheMiddleOfAReplacement(t *testing.T) {
+	middle := 0
+	for seed := range uint64(60) {
+		c := startCluster(t, seed, 3, 3, 1)
+		vs := c.settled(t, 3)
+		c.agree(t, vs[0], "before")
+		gone := vs[c.w.R.IntN(3)]
+		c.kill(gone, true)
+		c.run(1_000_000)
+		a := c.add(9, 1, c.ms[vs[0]].boot.Seeds)
+		live := slices.DeleteFunc([]string{vs[0], vs[1], vs[2], a}, func(o string) bool { return o == gone })
+		changing := func() bool {
+			before := c.ms[live[0]].core.voter.Membership().Number
+			return slices.ContainsFunc(live, func(o string) bool {
+				v := c.ms[o].core.voter
+				return v.Sealed() || v.Membership().Number != before || slices.Contains(v.Membership().Addresses(), a) && !c.ms[a].core.votes()
+			})
+		}
+		for i := 0; i < 1500 && !changing(); i++ {
+			c.run(2_000)
+		}
+		c.run(c.w.Between(0, 25_000))
+		if changing() {
+			middle++
+		}
+		for _, o := range live {
+			c.kill(o, false)
+		}
+		for _, o := range live {
+			c.w.After(c.w.Between(0, 500_000), func() { c.start(o) })
+		}
+		c.run(6_000_000)
+		if got := c.settled(t, 3); slices.Contains(got, gone) {
+			t.Fatalf("seed %d: %v vote", seed, got)
+		}
+		c.reads(t, a, "before")
+	}
+	t.Logf("of 60 losses of power %d came in the middle of a change of the voters", middle)
+	if middle < 20 {
+		t.Error("the runs show little")
+	}
+}
+
+// TestNewVotersVouchForNoOldLease: what the voters of the membership before were
+// asked is not known to a new one, so it says nothing of leases until they have run
+// out (design 14.4).
+func TestNewVotersVouchForNoOldLease(t *testing.T) {
+	c := startCluster(t, 8, 3, 3, 1)
+	vs := c.settled(t, 3)
+	c.kill(vs[0], true)
+	c.run(1_000_000)
+	a := c.add(9, 1, c.ms[vs[1]].boot.Seeds)
+	for range 400 {
+		c.run(10_000)
+		if c.ms[a].core.votes() {
+			break
+		}
+	}
+	if !c.ms[a].core.votes() {
+		t.Fatal("it does not vote")
+	}
+	for _, o := range []string{a, vs[1], vs[2]} {
+		core := c.ms[o].core
+		g := core.group("g")
+		g.sealed, g.at, g.before = 1, c.w.Now, map[string]bool{}
+		if core.votes() && core.clearedHere(c.w.Now, "g", g) {
+			t.Errorf("%s vouches for leases that it did not see", o)
+		}
+		if at := core.activated + 1_210_000; !core.clearedHere(at, "g", g) {
+			t.Errorf("%s does not say so later either", o)
+		}
+	}
+}
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -45,6 +45,9 @@
 		}
 		c.follow[from] = f
 	}
+	if m.Kind == "control" {
+		c.view.Hear(from)
+	}
 	since := m.Seq
 	if m.Life != c.run {
 		since = 0
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -45,6 +45,8 @@
 	// contactsAfter is how long a lease may be missing until the contacts are asked
 	// too.
 	contactsAfter = 500_000
+	// mostContacts is how many processes are asked who the voters are.
+	mostContacts = 16
 )
 
 type voter struct {
@@ -136,6 +138,16 @@
 	}
 }
 
+// Hear notes that another control process exists. While nobody is known who can
+// tell the voters, it is asked too: those named at the start may all be gone.
+func (v *View) Hear(address string) {
+	if v.membership.Known() || slices.Contains(v.voters, address) || len(v.voters) >= mostContacts {
+		return
+	}
+	v.setVoters(append(slices.Clone(v.voters), address))
+	v.urgent = true
+}
+
 // SetMembership takes a membership that is known to be chosen and reports whether
 // it is newer than the one known before.
 func (v *View) SetMembership(now int64, m paxos.Membership) bool {
--- a/voterview/voterview_test.go
+++ b/voterview/voterview_test.go
@@ -98,3 +98,86 @@
 		t.Fatal("one of three is taken for a majority")
 	}
 }
+
+// TestRemovedVotersCountNoMore: under a newer membership neither the lease nor an
+// agreed value rests on a voter that it does not name, or on what was accepted under
+// the one before.
+func TestRemovedVotersCountNoMore(t *testing.T) {
+	v := New("n", voters, "z", "n", "pool", 9)
+	l := looks(t, v, 1_000_000)
+	v.Step(1_010_000, "a", ret("a", l["a"], 900))
+	v.Step(1_010_000, "b", ret("b", l["b"], 900))
+	if v.LeaseUntil() != 1_000_000+LeaseUs {
+		t.Fatal("no lease")
+	}
+	// The membership after it names d in the place of c; a says so first.
+	l = looks(t, v, 1_400_000)
+	next := func(from string, active uint64, revisions ...uint64) *schema.LookReturn {
+		r := ret(from, l[from], 900, revisions...)
+		r.Membership, r.Active, r.Since = membership(2, "a", "b", "d"), active, 0
+		return r
+	}
+	v.Step(1_410_000, "a", next("a", 2))
+	late := ret("c", l["c"], 900, 1)
+	v.Step(1_410_000, "c", late)
+	v.Step(1_410_000, "b", next("b", 1, 1))
+	if v.LeaseUntil() != 1_000_000+LeaseUs {
+		t.Error("a lease on a voter that is removed, or on one that votes under the membership before")
+	}
+	if _, ok := v.Agreed("leader/g"); ok {
+		t.Error("agreed on what was accepted under the membership before")
+	}
+	l = looks(t, v, 1_500_000)
+	v.Step(1_510_000, "a", next("a", 2))
+	v.Step(1_510_000, "d", next("d", 2))
+	if v.LeaseUntil() != 1_500_000+LeaseUs {
+		t.Error("no lease on a majority of the voters of now")
+	}
+}
+
+// TestDoubtEnds: a revision that only a lost disk had accepted was never chosen;
+// the doubt about it ends once a lease rests on what the voters of now hold, and not
+// before.
+func TestDoubtEnds(t *testing.T) {
+	v := New("n", voters, "z", "n", "pool", 9)
+	l := looks(t, v, 1_000_000)
+	v.Step(1_010_000, "a", ret("a", l["a"], 900, 1, 2))
+	v.Step(1_010_000, "b", ret("b", l["b"], 900, 1))
+	v.Step(1_010_000, "c", ret("c", l["c"], 900, 1))
+	if !v.Doubt("leader/g") {
+		t.Fatal("no doubt about what one voter holds")
+	}
+	l = looks(t, v, 1_400_000)
+	// The disk of a is lost; another disk takes its place.
+	next := membership(2, voters...)
+	next.Voters[0].Life = 77
+	answer := func(from string, life uint64) *schema.LookReturn {
+		r := ret(from, l[from], life, 1)
+		r.Membership, r.Active, r.Since = next, 2, 0
+		r.Cells[0].Accepted.Membership = 2
+		if from == "a" {
+			r.Disk = 77
+		}
+		return r
+	}
+	v.Step(1_410_000, "b", answer("b", 900))
+	v.Step(1_410_000, "c", answer("c", 900))
+	if !v.Doubt("leader/g") {
+		t.Error("the doubt ends while a held it, as far as is known")
+	}
+	v.Step(1_420_000, "a", answer("a", 901))
+	if !v.Doubt("leader/g") {
+		t.Error("the doubt ends before a lease that was asked for after a came back")
+	}
+	l = looks(t, v, 1_800_000)
+	for _, o := range voters {
+		r := answer(o, map[string]uint64{"a": 901, "b": 900, "c": 900}[o])
+		v.Step(1_810_000, o, r)
+	}
+	if v.Doubt("leader/g") {
+		t.Error("the doubt does not end")
+	}
+	if c, ok := v.Agreed("leader/g"); !ok || c.Revision != 1 {
+		t.Errorf("%v is agreed", c)
+	}
+}
