Changes of the voters: seeded schedules, and four mends they led to

Cause: package paxos had no test of its own of a change of membership. The new schedules (one small step at a time; kills, lost disks, machines replaced, leaves, cuts, blackouts, very late envelopes) found, with the seeds that showed it: - Reconfigurer.Step panicked on a process that knows no membership yet and was asked for a vote (assignment to a nil map; 3 voters, seed 0). - A leaving voter that the next membership still names never asked for state, so it did not vote, and could not put its own replacement to the vote (3 voters, seed 7; 5 voters, seeds 28, 53, 57: "2 of 3 vote under membership 2"). - Plan replaced several voters at once, a live leaving one among them, by newcomers that were lost before they held anything: 2 of 5 voted for good (5 voters, seeds 1728 and 1739 of 2000). - The harness itself let a leaving voter go as soon as it learnt that it was out: then what it held may be missing for the majority that newcomers copy from (3 voters, seed 0).

Ruled out: a fault of the choice itself; no revision had two values and no number two memberships in any run, with and without the mends.

Change: Step asks Votes before Plan; Leave only stops the wish to vote; Plan replaces one voter a membership. Run names in the harness come from the seed, so that a seed is repeatable by itself. The checks on outcomes are one type, ledger, used by both tests of schedules.

--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -180,7 +180,7 @@
 
 // Due is when Tick has something to do next, math.MaxInt64 for never.
 func (a *Acceptor) Due() int64 {
-	if a.active > 0 && a.active == a.membership.Number || a.leaving {
+	if a.active > 0 && a.active == a.membership.Number {
 		return math.MaxInt64
 	}
 	return a.nextSend
@@ -201,7 +201,9 @@
 	case a.membership.Has(a.self, a.life):
 		a.requestState(&fx)
 	case a.membership.Known():
-		a.requestVote(&fx)
+		if !a.leaving {
+			a.requestVote(&fx)
+		}
 	case slices.Contains(a.founders, a.self):
 		a.found(&fx)
 	}
--- a/paxos/faults_test.go
+++ b/paxos/faults_test.go
@@ -33,19 +33,8 @@
 	up        map[string]bool
 	gen       map[string]int // life of the process, so that old ticks stop
 	lives     map[string]uint64
-	chosen    map[string]map[uint64]string
-	agreedAt  map[string]uint64 // newest revision known agreed, by key
-	began     map[string]uint64 // by change: newest revision agreed when it began
 	changes   int
-	agreed    int
-	reads     int
-	fail      string
-}
-
-func (c *cluster) bad(f string, a ...any) {
-	if c.fail == "" {
-		c.fail = fmt.Sprintf(f, a...)
-	}
+	ledger
 }
 
 func (c *cluster) boot(a string, empty bool) {
@@ -102,38 +91,6 @@
 	}
 }
 
-func (c *cluster) outcome(o paxos.Outcome) {
-	if o.Verdict != paxos.Agreed && o.Verdict != paxos.Lost {
-		return
-	}
-	k, r := o.Change.Key, o.Value.GetRevision()
-	if r > 0 {
-		d := string(o.Value.Data)
-		if was, ok := c.chosen[k][r]; ok && was != d {
-			c.bad("%s revision %d is both %s and %s", k, r, was, d)
-		}
-		c.chosen[k][r] = d
-	}
-	if r < c.began[o.Change.Name] {
-		c.bad("%s: %s ended at revision %d, but %d was agreed before it began", k, o.Change.Name, r, c.began[o.Change.Name])
-	}
-	if !o.Change.Read && o.Verdict == paxos.Agreed {
-		c.agreed++
-		// Its own revision is base+1, whatever came later.
-		if was, ok := c.chosen[k][o.Change.Base+1]; ok && was != string(o.Change.Data) {
-			c.bad("%s: %s was told agreed, but revision %d is %s", k, o.Change.Name, o.Change.Base+1, was)
-		}
-		c.chosen[k][o.Change.Base+1] = string(o.Change.Data)
-	}
-	if !o.Change.Read && o.Verdict == paxos.Lost && c.chosen[k][o.Change.Base+1] == string(o.Change.Data) {
-		c.bad("%s: %s was told lost and is in force", k, o.Change.Name)
-	}
-	if o.Change.Read {
-		c.reads++
-	}
-	c.agreedAt[k] = max(c.agreedAt[k], r)
-}
-
 func (c *cluster) take(to string, e *schema.Envelope) {
 	if !c.up[to] {
 		return
@@ -146,8 +103,7 @@
 // as often changes and faults come, one of them soon after the other.
 func run(t *testing.T, seed uint64, plant planted, pace int64) (*cluster, string) {
 	c := &cluster{t: t, w: simulation.NewWorld(seed), plant: plant, addrs: []string{"a", "b", "c"}, processes: map[string]*process{},
-		up: map[string]bool{}, gen: map[string]int{},
-		chosen: map[string]map[uint64]string{"x": {}, "y": {}}, agreedAt: map[string]uint64{}, began: map[string]uint64{}}
+		up: map[string]bool{}, gen: map[string]int{}, ledger: newLedger("x", "y")}
 	c.n = simulation.NewNetwork(c.w)
 	c.n.Take = c.take
 	c.n.Drop, c.n.Double = 0.05, 0.05
--- a/paxos/membership.go
+++ b/paxos/membership.go
@@ -108,19 +108,22 @@
 // Plan is the membership that should follow, and whether one should at all. A
 // voter whose address is used by another disk is replaced by that one; a lost
 // voter is replaced if another process may take its place; voters are added up to
-// the target, and never taken away otherwise.
+// the target, and never taken away otherwise. One voter is replaced at a time, so
+// that a membership never rests on more than one newcomer that holds nothing yet.
 func Plan(current Membership, s Survey) (Membership, bool) {
 	next := maps.Clone(current.Voters)
 	spare := map[string]Candidate{}
 	for _, c := range s.Candidates {
-		if _, votes := next[c.Address]; votes {
-			next[c.Address] = c.Life // the disk that voted before is gone
+		if _, votes := current.Voters[c.Address]; votes {
+			if maps.Equal(next, current.Voters) {
+				next[c.Address] = c.Life // the disk that voted before is gone
+			}
 		} else if c.Counts {
 			spare[c.Address] = c
 		}
 	}
 	for _, address := range slices.Sorted(maps.Keys(current.Voters)) {
-		if !s.Lost[address] || next[address] != current.Voters[address] || len(spare) == 0 {
+		if !s.Lost[address] || !maps.Equal(next, current.Voters) || len(spare) == 0 {
 			continue
 		}
 		delete(next, address)
--- a/paxos/process_test.go
+++ b/paxos/process_test.go
@@ -1,6 +1,7 @@
 package paxos_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -10,7 +11,7 @@
 	"stoneford/step"
 )
 
-// silentAfter is how long a voter may be silent before others replace it.
+// silentAfter is how long a process may be silent before it counts as gone.
 const silentAfter = 1_000_000
 
 // process is an acceptor with its disk, a proposer and a reconfigurer, as a
@@ -19,6 +20,7 @@
 	address  string
 	zone     string
 	target   int
+	silence  int64 // how long a voter may be silent before others replace it, silentAfter if 0
 	disk     []*schema.VoterLog
 	acceptor *paxos.Acceptor
 	proposer *paxos.Proposer
@@ -34,13 +36,10 @@
 	beforeTake  func(p *process, e *schema.Envelope) *schema.Envelope
 }
 
-var runs int
-
 // start has the process begin on what its disk holds.
 func (p *process) start(now int64, r *rand.Rand, founders []string) {
-	runs++
-	life := r.Uint64() | 1
-	run := fmt.Sprint(runs)
+	life := r.Uint64()>>1 | 1
+	run := fmt.Sprint(r.Uint64())
 	p.acceptor = paxos.NewAcceptor(p.address, life, paxos.Place{Zone: p.zone, Counts: true}, founders)
 	for _, l := range p.disk {
 		p.acceptor.Restore(l)
@@ -109,7 +108,7 @@
 func (p *process) survey(now int64) paxos.Survey {
 	s := paxos.Survey{Lost: map[string]bool{}, Candidates: p.acceptor.Candidates(now, silentAfter), Target: p.target, Zones: map[string]string{}}
 	for _, address := range p.acceptor.Membership().Addresses() {
-		if address != p.address && now-max(p.heard[address], p.began) > silentAfter {
+		if address != p.address && now-max(p.heard[address], p.began) > cmp.Or(p.silence, silentAfter) {
 			s.Lost[address] = true
 		}
 	}
@@ -148,7 +147,7 @@
 	return o
 }
 
-// members of the newest membership that any of the processes knows.
+// newest is the newest membership that any of the processes knows.
 func newest(ps map[string]*process) paxos.Membership {
 	var m paxos.Membership
 	for p := range maps.Values(ps) {
@@ -158,3 +157,61 @@
 	}
 	return m
 }
+
+// ledger holds what was told of changes and readings against each other: no
+// revision has two values, nothing told agreed is lost, no reading is older than
+// what was agreed before it began.
+type ledger struct {
+	chosen   map[string]map[uint64]string
+	agreedAt map[string]uint64 // newest revision known agreed, by key
+	began    map[string]uint64 // by change: newest revision agreed when it began
+	agreed   int
+	reads    int
+	fail     string
+}
+
+func newLedger(keys ...string) ledger {
+	l := ledger{chosen: map[string]map[uint64]string{}, agreedAt: map[string]uint64{}, began: map[string]uint64{}}
+	for _, k := range keys {
+		l.chosen[k] = map[uint64]string{}
+	}
+	return l
+}
+
+func (l *ledger) bad(f string, a ...any) {
+	if l.fail == "" {
+		l.fail = fmt.Sprintf(f, a...)
+	}
+}
+
+func (l *ledger) outcome(o paxos.Outcome) {
+	if o.Verdict != paxos.Agreed && o.Verdict != paxos.Lost {
+		return
+	}
+	k, r := o.Change.Key, o.Value.GetRevision()
+	if r > 0 {
+		d := string(o.Value.Data)
+		if was, ok := l.chosen[k][r]; ok && was != d {
+			l.bad("%s revision %d is both %s and %s", k, r, was, d)
+		}
+		l.chosen[k][r] = d
+	}
+	if r < l.began[o.Change.Name] {
+		l.bad("%s: %s ended at revision %d, but %d was agreed before it began", k, o.Change.Name, r, l.began[o.Change.Name])
+	}
+	if !o.Change.Read && o.Verdict == paxos.Agreed {
+		l.agreed++
+		// Its own revision is base+1, whatever came later.
+		if was, ok := l.chosen[k][o.Change.Base+1]; ok && was != string(o.Change.Data) {
+			l.bad("%s: %s was told agreed, but revision %d is %s", k, o.Change.Name, o.Change.Base+1, was)
+		}
+		l.chosen[k][o.Change.Base+1] = string(o.Change.Data)
+	}
+	if !o.Change.Read && o.Verdict == paxos.Lost && l.chosen[k][o.Change.Base+1] == string(o.Change.Data) {
+		l.bad("%s: %s was told lost and is in force", k, o.Change.Name)
+	}
+	if o.Change.Read {
+		l.reads++
+	}
+	l.agreedAt[k] = max(l.agreedAt[k], r)
+}
--- a/paxos/reconfigurer.go
+++ b/paxos/reconfigurer.go
@@ -57,8 +57,12 @@
 		return r.change(now, Change{Read: true}), true
 	}
 	r.sealed = 0
+	if !a.Votes() {
+		r.since = 0
+		return Change{}, false
+	}
 	next, due := Plan(a.Membership(), s)
-	if !due || !a.Votes() {
+	if !due {
 		r.since = 0
 		return Change{}, false
 	}
