The first start survives late envelopes of a lost disk; replies count for one run

Change: of two disks of one founder the greater identity counts, for everybody and for good, so that what founders report only grows; a new disk that hears of a greater one at its address takes an identity above it before it forms. A founder that knows another disk of the sender's takes no first membership from it, unless the notice names that disk (MembershipNotice.known replies to the report). Voters of the first membership begin with nothing to copy: nothing was chosen before. Attempts are numbered from a hash of the run's name, as looks are.

Conclusion: one first membership acts as long as fewer than half of the founders lose their disks before it is known; beyond that nothing could tell a second founding from the first.

--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -120,7 +120,7 @@
 	}
 	if l.Life != 0 {
 		a.life, a.logged = l.Life, true
-		a.lives = map[string]uint64{a.self: l.Life}
+		a.lives[a.self] = l.Life
 	}
 	for _, f := range l.Founders {
 		a.lives[f.Address] = f.Life
@@ -227,7 +227,7 @@
 	case *schema.Envelope_StateResponse:
 		a.stateReceived(&fx, e.From, body.StateResponse)
 	case *schema.Envelope_MembershipNotice:
-		a.noticed(&fx, e.From, ReadMembership(body.MembershipNotice.Membership))
+		a.noticed(&fx, e.From, ReadMembership(body.MembershipNotice.Membership), voterMap(body.MembershipNotice.Known))
 	}
 	return fx
 }
@@ -296,12 +296,14 @@
 
 // noticed takes a membership that another process knows to be chosen, and tells
 // that process a newer one.
-func (a *Acceptor) noticed(fx *Effects, from string, m Membership) {
+func (a *Acceptor) noticed(fx *Effects, from string, m Membership, known map[string]uint64) {
 	if m.Number < a.membership.Number {
 		a.notify(fx, from)
 		return
 	}
-	a.adopt(fx, m)
+	if a.trusts(from, m, known) {
+		a.adopt(fx, m)
+	}
 }
 
 // adopt takes a newer membership. From here on this acceptor votes under no
--- a/paxos/founding.go
+++ b/paxos/founding.go
@@ -22,10 +22,13 @@
 }
 
 // foundReported takes what another founder knows. One whose disk is empty again
-// before any founder formed takes part anew: it cannot have voted.
+// before any founder formed takes part anew: it cannot have voted. Of two disks of
+// one founder the greater identity counts for everybody, so what a founder knows
+// only ever grows, however late an envelope of a lost disk comes.
 func (a *Acceptor) foundReported(fx *Effects, from string, m *schema.Found) {
 	if a.membership.Known() {
-		a.notify(fx, from)
+		a.send(fx, from, &schema.Envelope{Body: &schema.Envelope_MembershipNotice{
+			MembershipNotice: &schema.MembershipNotice{Membership: a.membership.Message(), Known: m.Voters}}})
 		return
 	}
 	if !slices.Contains(m.Founders, from) || !slices.Contains(m.Founders, a.self) {
@@ -35,20 +38,40 @@
 		a.founders, a.nextSend = slices.Clone(m.Founders), 0
 	}
 	report := voterMap(m.Voters)
-	if a.lives[from] != report[from] {
-		a.lives[from] = report[from]
+	newer := a.learnDisk(from, report[from])
+	if a.outgrow(report[a.self]) || newer {
 		fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life, Founders: voterList(a.lives)})
-		a.nextSend = 0
+		a.logged, a.nextSend = true, 0
 	}
 	a.reports[from] = report
 	a.form(fx)
 }
 
+// learnDisk takes a founder's disk if it is newer than the one known.
+func (a *Acceptor) learnDisk(founder string, life uint64) bool {
+	if life <= a.lives[founder] {
+		return false
+	}
+	a.lives[founder] = life
+	return true
+}
+
+// outgrow gives this disk an identity above one of a disk that was lost here, so
+// that it counts for the others. It has not voted under the one it had.
+func (a *Acceptor) outgrow(lost uint64) bool {
+	if lost <= a.life {
+		return false
+	}
+	a.life = lost + 1 + a.life>>32
+	a.lives[a.self] = a.life
+	return true
+}
+
 // form makes the first membership once all founders know the same disks. A founder
 // that has formed never reports anything else, so any two that form with each other's
 // disks as they are form the same one.
 func (a *Acceptor) form(fx *Effects) {
-	if len(a.lives) != len(a.founders) {
+	if !a.knowsFounders() {
 		return
 	}
 	for _, f := range a.founders {
@@ -56,10 +79,7 @@
 			return
 		}
 	}
-	m := Membership{Number: firstMembership, Voters: maps.Clone(a.lives)}
-	a.membership, a.active = m, m.Number
-	a.recordMembership()
-	fx.Log = append(fx.Log, a.Snapshot())
+	a.adopt(fx, Membership{Number: firstMembership, Voters: maps.Clone(a.lives)})
 	for _, f := range a.founders {
 		if f != a.self {
 			a.notify(fx, f)
@@ -67,6 +87,23 @@
 	}
 }
 
+// knowsFounders reports whether this founder knows a disk of each, and so may have
+// told the others that it would form with these.
+func (a *Acceptor) knowsFounders() bool {
+	return len(a.founders) > 0 && len(a.lives) == len(a.founders)
+}
+
+// trusts reports whether a membership may be taken from a process. A founder that
+// knows another disk of the sender's takes no first membership from it, since the
+// others may form another with that disk, unless the sender knows of that disk too:
+// then the sender is not the disk that was lost.
+func (a *Acceptor) trusts(from string, m Membership, known map[string]uint64) bool {
+	if m.Number != firstMembership || a.membership.Known() || !a.knowsFounders() {
+		return true
+	}
+	return m.Has(from, a.lives[from]) || known[from] == a.lives[from] && known[from] != 0
+}
+
 // recordMembership has the membership's register hold the first membership, so
 // that its revision is the number of the membership ever after.
 func (a *Acceptor) recordMembership() {
--- a/paxos/membership_test.go
+++ b/paxos/membership_test.go
@@ -60,3 +60,57 @@
 		}
 	}
 }
+
+// exploreFounding interrupts the first start: kills, and a minority of founders
+// that lose their disks, told to found again or not.
+func exploreFounding(seed uint64, size int) *fleet {
+	f := newFleet(seed, size, soundFleet)
+	for range 100 + f.r.IntN(200) {
+		f.now += int64(f.r.IntN(3_000))
+		switch k := f.r.IntN(100); {
+		case k < 60 && len(f.under) > 0:
+			f.deliver()
+		case k < 85:
+			f.now += int64(f.r.IntN(60_000))
+			f.tick(f.any())
+		case k < 88:
+			a := f.any()
+			f.counts.restarts++
+			f.start(a, f.founders)
+		case k < 91 && f.counts.disks < (size-1)/2:
+			f.wipe(f.any())
+		case k < 95:
+			f.ask(f.any(), f.r.IntN(2) == 0, 1_000_000)
+		case k < 97:
+			f.cuts[[2]string{f.any(), f.any()}] = true
+		case k < 99:
+			f.mend()
+		}
+	}
+	if f.fail == "" {
+		f.finish()
+	}
+	return f
+}
+
+// TestFoundingInterrupted: kills and lost disks during the first start leave one
+// first membership that acts, and all of its voters vote in the end.
+func TestFoundingInterrupted(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		seeds := scheduleSeeds(3000)
+		all, failed := fleetCounts{ended: map[paxos.Verdict]int{}}, 0
+		for seed := range seeds {
+			f := exploreFounding(seed, size)
+			if f.fail != "" {
+				if failed++; failed < 10 {
+					t.Errorf("%d founders, seed %d: %s", size, seed, f.fail)
+				}
+			}
+			all.add(f.counts)
+		}
+		t.Logf("%d founders, %d seeds, %d failed: %+v", size, seeds, failed, all)
+		if all.disks < int(seeds)/2 || all.beyond > 0 {
+			t.Errorf("%d founders: the runs show little", size)
+		}
+	}
+}
--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 
 	"stoneford/schema"
 	"stoneford/step"
@@ -80,7 +81,7 @@
 	contacts   []string
 	membership Membership
 	round      uint64
-	number     uint64
+	number     uint64 // of the newest attempt; begins at a place of the run's own, so that a late reply to an earlier run never counts
 	busy       map[string]*attempt
 	queue      map[string][]Change
 	// Known, where set, is what the acceptor beside this proposer accepted of a key:
@@ -91,7 +92,8 @@
 // NewProposer makes a proposer; run must be a name that no earlier run of the
 // process used. Until it knows a membership it asks the contacts for one.
 func NewProposer(self, run string, contacts []string) *Proposer {
-	return &Proposer{self: self, name: self + "#" + run, contacts: slices.Clone(contacts), busy: map[string]*attempt{}, queue: map[string][]Change{}}
+	name := self + "#" + run
+	return &Proposer{self: self, name: name, number: step.Hash(name), contacts: slices.Clone(contacts), busy: map[string]*attempt{}, queue: map[string][]Change{}}
 }
 
 // SetMembership takes a newer membership; what was under way begins anew under it.
@@ -317,7 +319,7 @@
 	a.tries++
 	a.look = false
 	spread := int64(10_000) << min(a.tries, 5)
-	a.again = now + 2_000 + int64(step.Hash(p.name, a.ch.Key, string(rune(a.number)))%uint64(spread))
+	a.again = now + 2_000 + int64(step.Hash(p.name, a.ch.Key, strconv.FormatUint(a.number, 36))%uint64(spread))
 }
 
 func (p *Proposer) toAll(fx *ProposerEffects, e *schema.Envelope) {
--- a/paxos/transfer.go
+++ b/paxos/transfer.go
@@ -48,6 +48,9 @@
 		a.notify(fx, from)
 		return
 	}
+	if !a.trusts(from, wanted, nil) {
+		return
+	}
 	a.adopt(fx, wanted)
 	if a.active+1 < wanted.Number || a.active == 0 {
 		return // it never held what was chosen under the membership before
@@ -83,7 +86,9 @@
 		return
 	}
 	sources, enough := a.sources()
-	if !enough {
+	if a.membership.Number == firstMembership {
+		a.recordMembership() // nothing was chosen before
+	} else if !enough {
 		return
 	}
 	for _, s := range sources {
