--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -316,6 +316,9 @@
 	case *schema.Envelope_Look:
 		c.look(now, e.From, b.Look)
 	case *schema.Envelope_LookReturn:
+		if c.voter.Founds() {
+			return // the founders learn the first membership from each other only (design 3.3)
+		}
 		if b.LookReturn.Membership != nil {
 			c.adopt(now, paxos.ReadMembership(b.LookReturn.Membership))
 		}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -140,6 +140,12 @@
 	if c.removed == 0 {
 		c.removed = now
 	}
-	others := slices.IndexFunc(m.Addresses(), func(address string) bool { return !c.view.Active(address) }) < 0
-	return others || now-c.removed > handOver
+	active := 0
+	for _, address := range m.Addresses() {
+		if c.view.Active(address) {
+			active++
+		}
+	}
+	// What this process holds may be needed until a majority votes.
+	return active == len(m.Voters) || active >= m.Quorum() && now-c.removed > handOver
 }
--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -120,7 +120,7 @@
 	}
 	if l.Life != 0 {
 		a.life, a.logged = l.Life, true
-		a.lives = map[string]uint64{a.self: l.Life}
+		a.lives[a.self] = l.Life
 	}
 	if len(l.Founders) > 0 {
 		a.restoreFounders(l.Founders)
@@ -180,7 +180,7 @@
 
 // Due is when Tick has something to do next, math.MaxInt64 for never.
 func (a *Acceptor) Due() int64 {
-	if a.active > 0 && a.active == a.membership.Number || a.leaving {
+	if a.active > 0 && a.active == a.membership.Number {
 		return math.MaxInt64
 	}
 	return a.nextSend
@@ -197,7 +197,9 @@
 	case a.membership.Has(a.self, a.life):
 		a.requestState(&fx)
 	case a.membership.Known():
-		a.requestVote(&fx)
+		if !a.leaving {
+			a.requestVote(&fx)
+		}
 	case slices.Contains(a.founders, a.self):
 		a.found(&fx)
 	}
@@ -221,7 +223,7 @@
 	case *schema.Envelope_StateResponse:
 		a.stateReceived(&fx, e.From, body.StateResponse)
 	case *schema.Envelope_MembershipNotice:
-		a.noticed(&fx, e.From, ReadMembership(body.MembershipNotice.Membership))
+		a.noticed(&fx, e.From, ReadMembership(body.MembershipNotice.Membership), voterMap(body.MembershipNotice.Known))
 	}
 	return fx
 }
@@ -290,12 +292,14 @@
 
 // noticed takes a membership that another process knows to be chosen, and tells
 // that process a newer one.
-func (a *Acceptor) noticed(fx *Effects, from string, m Membership) {
+func (a *Acceptor) noticed(fx *Effects, from string, m Membership, known map[string]uint64) {
 	if m.Number < a.membership.Number {
 		a.notify(fx, from)
 		return
 	}
-	a.adopt(fx, m)
+	if a.trusts(from, m, known) {
+		a.adopt(fx, m)
+	}
 }
 
 // adopt takes a newer membership. From here on this acceptor votes under no
