--- a/voterlog/crash_test.go
+++ b/voterlog/crash_test.go
@@ -1,258 +1,44 @@
-package voterlog
+package voterlog_test
 
 import (
 	"bytes"
 	"fmt"
-	"io/fs"
-	"maps"
 	"math/rand/v2"
-	"path/filepath"
-	"slices"
 	"testing"
 
-	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"stoneford/ballots"
 	"stoneford/schema"
+	"stoneford/voterlog"
+	"stoneford/voterlog/crashdisk"
 )
 
-// node is a file's content: what its last sync covered, and the writes since.
-type node struct {
-	synced []byte
-	made   bool // synced at least once: it lasts under the name it was made with
-	since  []write
-}
-
-type write struct {
-	at int
-	b  []byte
-}
-
-func (n *node) now() []byte {
-	b := bytes.Clone(n.synced)
-	for _, w := range n.since {
-		b = put(b, w)
-	}
-	return b
-}
-
-func put(b []byte, w write) []byte {
-	if d := w.at + len(w.b) - len(b); d > 0 {
-		b = append(b, make([]byte, d)...)
-	}
-	copy(b[w.at:], w.b)
-	return b
-}
-
-// disk is one folder's disk with the semantics of fsync: names that were renamed
-// or removed last once the folder is synced, a new file with its own sync, and
-// at a loss of power each write after the last sync is there, missing or torn.
-type disk struct {
-	r       *rand.Rand
-	names   map[string]*node // as the process sees them
-	durable map[string]*node
-	made    map[string]*node // made under this name, and not yet lasting
-	refuse  float64          // of calls that write
-	lies    bool             // the plant: a sync returns and syncs nothing
-	// steps is how many more calls that write are made until the power goes,
-	// negative for never.
-	steps int
-}
-
-var (
-	errRefused = errs.New("the disk refuses")
-	errPower   = errs.New("the power is gone")
-)
-
-func newDisk(r *rand.Rand) *disk {
-	return &disk{r: r, names: map[string]*node{}, durable: map[string]*node{}, made: map[string]*node{}, steps: -1}
-}
-
-func (d *disk) may() error {
-	if d.steps == 0 {
-		return errPower
-	}
-	if d.steps > 0 {
-		d.steps--
-	}
-	if d.r.Float64() < d.refuse {
-		return errRefused
-	}
-	return nil
-}
-
-// powerLoss leaves what a loss of power leaves.
-func (d *disk) powerLoss() {
-	none := d.r.IntN(4) == 0 // all that was not synced is gone
-	for _, n := range d.durable {
-		if !none {
-			for _, w := range n.since {
-				switch d.r.IntN(3) {
-				case 0:
-					n.synced = put(n.synced, w)
-				case 1:
-					if k := d.r.IntN(len(w.b) + 1); k > 0 {
-						n.synced = put(n.synced, write{w.at, w.b[:k]})
-					}
-					if d.r.IntN(2) == 0 { // the length arrived, the rest did not
-						n.synced = put(n.synced, write{w.at + len(w.b), nil})
-					}
-				}
-			}
-		}
-		n.since = nil
-	}
-	d.names = maps.Clone(d.durable)
-	clear(d.made)
-	d.steps = -1
-}
-
-func (d *disk) Names(string) ([]string, error) {
-	var ns []string
-	for p := range d.names {
-		ns = append(ns, filepath.Base(p))
-	}
-	slices.Sort(ns)
-	return ns, nil
-}
-
-func (d *disk) Read(p string) ([]byte, error) {
-	n := d.names[p]
-	if n == nil {
-		return nil, fs.ErrNotExist
-	}
-	return n.now(), nil
-}
-
-func (d *disk) Create(p string) (File, error) {
-	if err := d.may(); err != nil {
-		return nil, err
-	}
-	n := &node{}
-	d.names[p], d.made[p] = n, n
-	return &file{d: d, n: n}, nil
-}
-
-func (d *disk) Append(p string) (File, error) {
-	n := d.names[p]
-	if n == nil {
-		return nil, fs.ErrNotExist
-	}
-	return &file{d: d, n: n, at: len(n.now())}, nil
-}
-
-func (d *disk) Cut(p string, l int64) error {
-	if err := d.may(); err != nil {
-		return err
-	}
-	n := d.names[p]
-	// A cut that is not synced may be undone, or not.
-	b := n.now()[:l]
-	if d.r.IntN(2) == 0 {
-		n.synced, n.since = b, nil
-	} else {
-		n.since = []write{}
-		n.synced = b
-	}
-	return nil
-}
-
-func (d *disk) Rename(from, to string) error {
-	if err := d.may(); err != nil {
-		return err
-	}
-	d.names[to] = d.names[from]
-	delete(d.names, from)
-	if d.r.IntN(3) == 0 { // it may last without a sync
-		return d.SyncFolder("")
-	}
-	return nil
-}
-
-func (d *disk) Remove(p string) error {
-	if err := d.may(); err != nil {
-		return err
-	}
-	delete(d.names, p)
-	if d.r.IntN(3) == 0 {
-		delete(d.durable, p)
-	}
-	return nil
-}
-
-func (d *disk) MakeFolder(string) error { return nil }
-
-func (d *disk) SyncFolder(string) error {
-	if err := d.may(); err != nil {
-		return err
-	}
-	d.durable = maps.Clone(d.names)
-	return nil
-}
-
-type file struct {
-	d  *disk
-	n  *node
-	at int
-}
-
-func (f *file) Write(b []byte) (int, error) {
-	if err := f.d.may(); err != nil {
-		// Some of it may be there all the same.
-		k := f.d.r.IntN(len(b) + 1)
-		f.n.since = append(f.n.since, write{f.at, bytes.Clone(b[:k])})
-		f.at += k
-		return k, err
-	}
-	f.n.since = append(f.n.since, write{f.at, bytes.Clone(b)})
-	f.at += len(b)
-	return len(b), nil
-}
-
-func (f *file) Sync() error {
-	if err := f.d.may(); err != nil {
-		return err
-	}
-	if f.d.lies {
-		return nil
-	}
-	f.n.synced, f.n.since = f.n.now(), nil
-	for p, n := range f.d.made {
-		if n == f.n && f.d.names[p] == n {
-			f.d.durable[p] = n
-		}
-	}
-	return nil
-}
-
-func (f *file) Close() error { return nil }
-
 // crash runs a voter over a disk that loses power at any call, or refuses, and
 // holds that what was synced is there afterwards.
-func crash(seed uint64, lies bool) (bad string, losses, refusals int) {
+func crash(seed uint64, plant crashdisk.Plant) (bad string, losses, refusals int) {
 	r := rand.New(rand.NewPCG(seed, 7))
-	d := newDisk(r)
+	d := crashdisk.New(r)
 	var v *ballots.Voter
-	var l *Log
+	var l *voterlog.Log
 	// What the world outside was told: the newest promise and accepted revision.
 	told := map[string]*schema.Cell{}
 	round := uint64(0)
 	open := func() string {
-		d.refuse = 0
+		d.Refuse = 0
 		var err error
 		for {
 			v = ballots.NewVoter("a", []string{"a"}, r.Uint32())
-			if l, err = OpenIn(d, "/v", v.Restore); err == nil {
+			if l, err = voterlog.OpenIn(d, "/v", v.Restore); err == nil {
 				break
 			}
-			if err != errPower {
+			if err != crashdisk.ErrPower {
 				return err.Error()
 			}
-			d.lies = false
-			d.powerLoss() // while it starts
+			d.Plant = crashdisk.None
+			d.PowerLoss() // while it starts
 		}
-		d.lies = lies
+		d.Plant = plant
 		if len(told) > 0 && !v.Formed() {
 			return "the voter that voted has an empty disk"
 		}
@@ -269,11 +55,11 @@
 	}
 	for range 60 {
 		if r.IntN(6) == 0 {
-			d.steps = r.IntN(12)
+			d.Steps = r.IntN(12)
 		}
-		d.refuse = 0
+		d.Refuse = 0
 		if r.IntN(8) == 0 {
-			d.refuse = 0.3
+			d.Refuse = 0.3
 		}
 		fx := v.Tick(1)
 		round++
@@ -286,7 +72,7 @@
 			es = []*schema.VoterLog{v.Snapshot()}
 		}
 		err := l.Write(es, v.Snapshot)
-		for err != nil && d.steps != 0 && r.IntN(3) > 0 {
+		for err != nil && d.Steps != 0 && r.IntN(3) > 0 {
 			refusals++
 			err = l.Write(es, v.Snapshot) // as the core does, with the whole state
 		}
@@ -300,15 +86,15 @@
 			}
 			fallthrough // the power goes right after the acknowledgement
 		default:
-			if d.steps != 0 && r.IntN(3) == 0 { // only the process ends
+			if d.Steps != 0 && r.IntN(3) == 0 { // only the process ends
 				if bad := open(); bad != "" {
 					return bad, losses, refusals
 				}
 				continue
 			}
 			losses++
-			d.lies = false
-			d.powerLoss()
+			d.Plant = crashdisk.None
+			d.PowerLoss()
 			if bad := open(); bad != "" {
 				return bad, losses, refusals
 			}
@@ -320,12 +106,12 @@
 // TestCrashes: over thousands of seeds whatever a voter told is there after the
 // power was lost at any call, the process ended, or the disk refused.
 func TestCrashes(t *testing.T) {
-	seeds, losses, refusals := uint64(3000/slower), 0, 0
+	seeds, losses, refusals := uint64(3000/voterlog.Slower), 0, 0
 	if testing.Short() {
-		seeds = 500 / slower
+		seeds = 500 / voterlog.Slower
 	}
 	for seed := range seeds {
-		bad, n, m := crash(seed, false)
+		bad, n, m := crash(seed, crashdisk.None)
 		if bad != "" {
 			t.Fatalf("seed %d: %s", seed, bad)
 		}
@@ -337,18 +123,30 @@
 	}
 }
 
-// TestCrashesPlanted: a disk whose syncs do nothing is seen.
+// TestCrashesPlanted: a disk that does not keep what the log rests on is seen.
 func TestCrashesPlanted(t *testing.T) {
-	seen := 0
-	for seed := range uint64(100) {
-		if bad, _, _ := crash(seed, true); bad != "" {
-			if seen == 0 {
-				t.Log(bad)
+	for _, x := range []struct {
+		what  string
+		plant crashdisk.Plant
+		least int // of 100 seeds show it
+	}{
+		{"syncs do nothing", crashdisk.SyncsNothing, 80},
+		{"a snapshot is not synced before it is renamed", crashdisk.SnapshotUnsync, 60},
+		{"the folder is not synced", crashdisk.FolderUnsync, 60},
+		{"the log is removed before the snapshot lasts", crashdisk.OldRemoved, 15},
+	} {
+		seen, first := 0, ""
+		for seed := range uint64(100) {
+			if bad, _, _ := crash(seed, x.plant); bad != "" {
+				if first == "" {
+					first = bad[:min(len(bad), 120)]
+				}
+				seen++
 			}
-			seen++
 		}
-	}
-	if seen < 80 {
-		t.Fatalf("%d of 100 seeds show it", seen)
+		t.Logf("%s: %d of 100 seeds show it, first: %s", x.what, seen, first)
+		if seen < x.least {
+			t.Errorf("%s: only %d of 100 seeds show it", x.what, seen)
+		}
 	}
 }
--- /dev/null
+++ b/voterlog/export_test.go
@@ -0,0 +1,4 @@
+package voterlog
+
+// Slower is by how much fewer seeds run under the race detector.
+const Slower = slower
--- a/voterlog/voterlog.go
+++ b/voterlog/voterlog.go
@@ -6,14 +6,21 @@
 // by a loss of power only the last frame can be torn; a frame that cannot be
 // read with a sound one behind it is damage. A snapshot begins the next file,
 // which gets its name once it is synced; the file before it is removed after
-// that name lasts.
+// that name lasts. So every file but the first begins with a whole snapshot, and
+// one that does not is damage too.
+//
+// The log is truncated by a snapshot once it is several times as long as the
+// last one, so that its size, and with it the time that a restart takes, is
+// bounded by the size of the state and not by its history (design 19).
 package voterlog
 
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -36,11 +43,17 @@
 // Format is the number of the format that is written.
 const Format = 2
 
-// The log is replaced by a snapshot past either; a snapshot that is itself large
-// doubles the bytes, so that not every write is one.
+// When a snapshot is due: past so many entries, or past so many bytes for each
+// byte of the last snapshot, but not below leastBytes, which spares a small state
+// frequent snapshots, nor above mostBytes or diskShare of the disk. Two snapshots
+// always lie at least the length of one apart, so that not every write of a large
+// state is one.
 const (
 	compactEntries = 4096
-	compactBytes   = 8 << 20
+	growth         = 8
+	leastBytes     = 512 << 10
+	mostBytes      = 8 << 20
+	diskShare      = 8
 )
 
 // A frame's head: length of what follows the head, check sum of that and of the
@@ -59,14 +72,15 @@
 
 // Log is an open log. It is not safe for use by several goroutines.
 type Log struct {
-	fs      Files
+	files   Files
 	folder  string
-	f       File // nil after a failed write, until a snapshot was written
+	file    File // nil after a failed write, until a snapshot was written
 	number  uint64
 	frame   uint64
 	entries int
 	bytes   int
-	most    int // bytes past which a snapshot is due
+	begun   int // bytes of the snapshot that the file begins with
+	disk    int // bytes of the disk, 0 if unknown
 }
 
 // Open opens the log in a folder and plays it back; the folder is made if it is
@@ -79,18 +93,18 @@
 }
 
 // OpenIn is Open on another disk.
-func OpenIn(fs Files, folder string, restore func(*schema.VoterLog)) (*Log, error) {
-	if err := fs.MakeFolder(folder); err != nil {
+func OpenIn(files Files, folder string, restore func(*schema.VoterLog)) (*Log, error) {
+	if err := files.MakeFolder(folder); err != nil {
 		return nil, err
 	}
-	if err := fs.SyncFolder(filepath.Dir(folder)); err != nil {
+	if err := files.SyncFolder(filepath.Dir(folder)); err != nil {
 		return nil, err
 	}
-	c, err := read(fs, folder)
+	c, err := read(files, folder)
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{fs: fs, folder: folder, number: c.number, frame: c.frames, entries: len(c.entries), bytes: c.good, most: compactBytes}
+	l := &Log{files: files, folder: folder, number: c.number, frame: c.frames, entries: len(c.entries), bytes: c.good, begun: c.begun}
 	if c.number == 0 {
 		if err := l.begin(nil); err != nil {
 			return nil, errs.Combine(err, l.Close())
@@ -98,18 +112,18 @@
 	} else {
 		p := l.path(c.number)
 		if c.good < c.length {
-			if err := fs.Cut(p, int64(c.good)); err != nil {
+			if err := files.Cut(p, int64(c.good)); err != nil {
 				return nil, err
 			}
 		}
-		if l.f, err = fs.Append(p); err != nil {
+		if l.file, err = files.Append(p); err != nil {
 			return nil, err
 		}
 		// A process that ended may have left what it had not synced.
-		if err := l.f.Sync(); err != nil {
+		if err := l.file.Sync(); err != nil {
 			return nil, errs.Combine(err, l.Close())
 		}
-		if err := fs.SyncFolder(folder); err != nil {
+		if err := files.SyncFolder(folder); err != nil {
 			return nil, errs.Combine(err, l.Close())
 		}
 	}
@@ -128,13 +142,14 @@
 	frames  uint64
 	entries []*schema.VoterLog
 	good    int // bytes up to the end of the last sound frame
+	begun   int // bytes up to the end of the snapshot that it begins with
 	length  int
 	others  []string // files that are left over
 }
 
-func read(fs Files, folder string) (content, error) {
+func read(files Files, folder string) (content, error) {
 	var c content
-	ns, err := fs.Names(folder)
+	ns, err := files.Names(folder)
 	if err != nil {
 		return c, err
 	}
@@ -157,7 +172,7 @@
 	if c.number, err = strconv.ParseUint(newest[len("log-"):], 10, 64); err != nil {
 		return c, ErrFormat.Wrap(err)
 	}
-	b, err := fs.Read(filepath.Join(folder, newest))
+	b, err := files.Read(filepath.Join(folder, newest))
 	if err != nil {
 		return c, err
 	}
@@ -185,10 +200,16 @@
 		if err := proto.Unmarshal(f, es); err != nil {
 			return ErrDamaged.New("%s: frame %d: %v", file, c.frames+1, err)
 		}
+		if c.frames == 0 && len(es.Entries) > 0 && es.Entries[0].Snapshot {
+			c.begun = c.good + headLength + len(f)
+		}
 		c.entries = append(c.entries, es.Entries...)
 		c.frames++
 		c.good += headLength + len(f)
 	}
+	if c.number > 1 && c.begun == 0 {
+		return ErrDamaged.New("%s does not begin with a whole snapshot", file)
+	}
 	// A sound frame behind the place means that it was not the end that tore.
 	for i := c.good + 1; i+headLength <= len(b); i++ {
 		if n := binary.LittleEndian.Uint64(b[i+8:]); n > c.frames && n < c.frames+1<<32 {
@@ -230,7 +251,10 @@
 
 func (l *Log) path(n uint64) string { return filepath.Join(l.folder, fmt.Sprintf("log-%020d", n)) }
 
-// begin makes the next file the one in force, with what it is to begin with.
+// begin makes the next file the one in force, with what it is to begin with. A
+// file that could not be made whole is removed again: on a full disk it would
+// take the room that the next try needs. Nothing that was told rests on it, and
+// the file before it is still there.
 func (l *Log) begin(es []*schema.VoterLog) (err error) {
 	b, frames := fileHead(), uint64(0)
 	if len(es) > 0 {
@@ -240,8 +264,9 @@
 		frames = 1
 	}
 	to := l.path(l.number + 1)
-	f, err := l.fs.Create(to + ".new")
+	f, err := l.files.Create(to + ".new")
 	if err != nil {
+		l.number++
 		return err
 	}
 	_, err = f.Write(b)
@@ -249,18 +274,22 @@
 		err = f.Sync()
 	}
 	if err == nil {
-		err = l.fs.Rename(to+".new", to)
+		err = l.files.Rename(to+".new", to)
 	}
 	if err == nil {
-		err = l.fs.SyncFolder(l.folder)
+		err = l.files.SyncFolder(l.folder)
 	}
 	if err != nil {
-		// The next try takes the number after it: this file may have its name.
+		// The next try takes the number after it: a loss of power may bring this
+		// file back under its name.
 		l.number++
-		return errs.Combine(err, f.Close())
+		err = errs.Combine(err, f.Close())
+		_ = l.files.Remove(to + ".new")
+		_ = l.files.Remove(to)
+		return err
 	}
-	old := l.f
-	l.f, l.number, l.frame, l.entries, l.bytes, l.most = f, l.number+1, frames, len(es), len(b), max(compactBytes, 2*len(b))
+	old := l.file
+	l.file, l.number, l.frame, l.entries, l.bytes, l.begun = f, l.number+1, frames, len(es), len(b), len(b)
 	if old != nil {
 		_ = old.Close() // nothing rests on it any more
 	}
@@ -274,15 +303,28 @@
 		return nil
 	}
 	for _, n := range names {
-		if err := l.fs.Remove(filepath.Join(l.folder, n)); err != nil {
+		// The first file may have been made over one that was left over.
+		if err := l.files.Remove(filepath.Join(l.folder, n)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
 	}
-	return l.fs.SyncFolder(l.folder)
+	return l.files.SyncFolder(l.folder)
+}
+
+// SetDiskSize tells how many bytes the disk holds; 0 is unknown.
+func (l *Log) SetDiskSize(bytes int) { l.disk = bytes }
+
+// limit is how many bytes the log may have until a snapshot is due.
+func (l *Log) limit() int {
+	most := mostBytes
+	if l.disk > 0 {
+		most = min(most, l.disk/diskShare)
+	}
+	return max(min(max(growth*l.begun, leastBytes), most), 2*l.begun)
 }
 
 // Due says that the next write should bring a snapshot.
-func (l *Log) Due() bool { return l.entries >= compactEntries || l.bytes >= l.most }
+func (l *Log) Due() bool { return l.entries >= compactEntries || l.bytes >= l.limit() }
 
 // Write appends and syncs. Entries that begin with a snapshot replace what came
 // before; where one is due and snapshot is not nil, what it returns takes the
@@ -292,25 +334,25 @@
 	if len(es) == 0 {
 		return nil
 	}
-	if snapshot != nil && (l.f == nil || l.Due()) && !es[0].Snapshot {
+	if snapshot != nil && (l.file == nil || l.Due()) && !es[0].Snapshot {
 		es = []*schema.VoterLog{snapshot()}
 	}
 	if es[0].Snapshot {
 		return l.replace(es)
 	}
-	if l.f == nil {
+	if l.file == nil {
 		return errs.New("an earlier write failed, and this one brings no snapshot")
 	}
 	b, err := frame(nil, l.frame+1, es)
 	if err == nil {
-		_, err = l.f.Write(b)
+		_, err = l.file.Write(b)
 	}
 	if err == nil {
-		err = l.f.Sync()
+		err = l.file.Sync()
 	}
 	if err != nil {
-		err = errs.Combine(err, l.f.Close())
-		l.f = nil
+		err = errs.Combine(err, l.file.Close())
+		l.file = nil
 		return err
 	}
 	l.frame, l.entries, l.bytes = l.frame+1, l.entries+len(es), l.bytes+len(b)
@@ -319,13 +361,13 @@
 
 func (l *Log) replace(es []*schema.VoterLog) error {
 	if err := l.begin(es); err != nil {
-		if l.f != nil {
-			err = errs.Combine(err, l.f.Close())
-			l.f = nil // what came before may be in force again after a loss of power, or not
+		if l.file != nil {
+			err = errs.Combine(err, l.file.Close())
+			l.file = nil // what came before may be in force again after a loss of power, or not
 		}
 		return err
 	}
-	ns, err := l.fs.Names(l.folder)
+	ns, err := l.files.Names(l.folder)
 	if err == nil {
 		now := filepath.Base(l.path(l.number))
 		err = l.sweep(slices.DeleteFunc(ns, func(n string) bool { return n == now || !name.MatchString(n) && !half.MatchString(n) }))
@@ -336,11 +378,11 @@
 
 // Close closes the log.
 func (l *Log) Close() error {
-	if l.f == nil {
+	if l.file == nil {
 		return nil
 	}
-	f := l.f
-	l.f = nil
+	f := l.file
+	l.file = nil
 	return f.Close()
 }
 
--- a/voterlog/voterlog_test.go
+++ b/voterlog/voterlog_test.go
@@ -153,18 +153,29 @@
 	}
 }
 
-// TestCompaction: past its entries or its bytes a log is one snapshot and what
-// came after, in one file; large states do not make each write a snapshot.
+// TestCompaction: past its entries, or past several times the last snapshot's
+// bytes, a log is one snapshot and what came after, in one file; neither many
+// writes of a small state nor large states make each write a snapshot.
 func TestCompaction(t *testing.T) {
 	for _, c := range []struct {
-		writes, size, snaps, most int
-	}{{compactEntries * 2, 10, 1, 4 << 20}, {200, 256 << 10, 6, 9 << 20}} {
+		writes, size, disk int
+		snaps, most        int
+	}{
+		{compactEntries * 2, 10, 0, 1, 512 << 10},
+		// The state is 0.75 MB, so the log ends at 6 MB or, on a disk of 8 MB, at
+		// twice the snapshot.
+		{200, 256 << 10, 0, 9, 6<<20 + 256<<10},
+		{200, 256 << 10, 8 << 20, 50, 1536<<10 + 256<<10 + 4<<10},
+		// Three registers of 32 KB: the log ends at eight snapshots' length.
+		{300, 32 << 10, 64 << 20, 13, 768<<10 + 32<<10 + 4<<10},
+	} {
 		dir := filepath.Join(t.TempDir(), "v")
 		l, err := Open(dir, func(*schema.VoterLog) {})
 		if err != nil {
 			t.Fatal(err)
 		}
-		snaps, state := 0, map[string]*schema.Cell{}
+		l.SetDiskSize(c.disk)
+		snaps, state, longest := 0, map[string]*schema.Cell{}, 0
 		for i := range c.writes {
 			e := entry(i)
 			e.Cells[0].Value.Data = bytes.Repeat([]byte{1}, c.size)
@@ -179,6 +190,7 @@
 			}); err != nil {
 				t.Fatal(err)
 			}
+			longest = max(longest, l.bytes)
 		}
 		if err := l.Close(); err != nil {
 			t.Fatal(err)
@@ -187,8 +199,9 @@
 		if err != nil || len(fs) != 1 {
 			t.Fatalf("%d files: %v", len(fs), err)
 		}
-		if s, _ := fs[0].Info(); s.Size() > int64(c.most) {
-			t.Errorf("%d writes of %d bytes: the log is %d bytes", c.writes, c.size, s.Size())
+		t.Logf("%d writes of %d bytes, a disk of %d: %d snapshots, at most %d bytes", c.writes, c.size, c.disk, snaps, longest)
+		if longest > c.most {
+			t.Errorf("%d writes of %d bytes: the log is %d bytes", c.writes, c.size, longest)
 		}
 		r, err := Inspect(dir)
 		if err != nil || snaps != c.snaps || len(r.Cells) != 3 {
