A control process that was cut off takes no database for gone when it is back

Cause: databases announce themselves to one control process, which passes one beat in three on. One that was cut off from the others hears none of the rest's meanwhile; at its first look after the cut its lease was in force again, and it took all it had not heard for 7.2 s for gone. The word went to every node: "the primary is not announced", 0.7 to 3 s for each database, until its next beat. Only a process that had stood still waited before it judged.

Ruled out: the storm of 300 changes itself. What was lost in storms with a cut is lost in the cut alone. What is left of it there are the statements that a node beside the cut-off process has no lease for, and a change of a primary that announced itself to the cut-off process alone, which went on acknowledging its beats.

Change: nobody is taken for gone until six beats after the process was last without a majority's lease.

Conclusion: the cause of the loss is the return from a cut, not the changes.

--- a/coordinator/announcements.go
+++ b/coordinator/announcements.go
@@ -102,9 +102,10 @@
 }
 
 // expire takes databases that were silent for long as gone, unless this process
-// may be the one that hears nothing.
+// may be the one that hears nothing, or was until lately: databases announce
+// themselves to the others then, and what these heard is not here yet.
 func (c *Core) expire(now int64) {
-	if now >= c.view.LeaseUntil() || now-c.began < goneFactor*c.beatUs() {
+	if now-max(c.began, c.apart) < goneFactor*c.beatUs() {
 		return
 	}
 	var old []string
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -141,6 +141,7 @@
 	leaving   bool
 	began     int64
 	lastStep  int64
+	apart     int64 // when this process was last without a majority's lease
 	nextCmp   int64
 	nextGone  int64
 	nextAll   int64
@@ -225,6 +226,9 @@
 		c.began = now
 	}
 	c.lastStep = now
+	if now >= c.view.LeaseUntil() {
+		c.apart = now
+	}
 	for _, e := range evs {
 		c.event(now, e)
 		c.drain(now)
