Storms of 300 changes in the simulated fleet, with closing faults and a voter away

Change: fleetsimulation TestStormOfChanges: 300 changes one on top of the other under callers, the fault right after an acknowledgement or up to 60 ms into the next change: power off everywhere, all processes killed, a disk lost, a disk lost and power off everywhere, and a control process killed, frozen, cut off or wiped for 10 s, then another one lost 4 s after its return.

--- /dev/null
+++ b/fleetsimulation/storm_test.go
@@ -0,0 +1,178 @@
+package fleetsimulation
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"stoneford/ports"
+)
+
+// storm makes changes one after the other, each on top of the one acknowledged
+// before, and calls each with how many were.
+func (f *Fleet) storm(changes int, acked func(n int)) {
+	n := 0
+	var next func()
+	next = func() {
+		if changes == 0 {
+			return
+		}
+		changes--
+		f.operators.put(f.operators.amend(), true, false, func(o ports.Outcome) {
+			if o == ports.Agreed {
+				n++
+				acked(n)
+			}
+			f.After(f.Between(1_000, 30_000), next)
+		})
+	}
+	next()
+}
+
+// powerLost takes the power from all machines; those named lose their disks.
+func (f *Fleet) powerLost(wiped ...*Control) {
+	for _, c := range f.controls {
+		f.killControl(c, true)
+		f.later(500_000, 1_500_000, func() { f.backControl(c) })
+	}
+	for _, n := range f.nodes {
+		f.killNode(n, true)
+		f.later(500_000, 1_500_000, func() { f.backNode(n) })
+	}
+	for _, c := range wiped {
+		c.disk = nil
+	}
+}
+
+// stormFaults strike in the middle of a storm, or right after an acknowledgement
+// of one of its changes. Each is borne.
+var stormFaults = []struct {
+	name string
+	do   func(f *Fleet)
+}{
+	{"power off everywhere", func(f *Fleet) { f.powerLost() }},
+	{"all processes killed", func(f *Fleet) {
+		for _, c := range f.controls {
+			f.killControl(c, false)
+			f.later(200_000, 600_000, func() { f.backControl(c) })
+		}
+		for _, n := range f.nodes {
+			f.killNode(n, false)
+			f.later(200_000, 600_000, func() { f.backNode(n) })
+		}
+	}},
+	{"a disk lost", func(f *Fleet) {
+		c := f.controls[f.R.IntN(3)]
+		f.killControl(c, true)
+		c.disk = nil
+		f.later(300_000, 3_000_000, func() { f.backControl(c) })
+	}},
+	{"a disk lost and power off everywhere", func(f *Fleet) { f.powerLost(f.controls[f.R.IntN(3)]) }},
+	{"killed and then it decides", func(f *Fleet) {
+		f.awayThenDecides(func(c *Control) { f.killControl(c, true) }, func(c *Control) { f.backControl(c) })
+	}},
+	{"frozen and then it decides", func(f *Fleet) {
+		f.awayThenDecides(func(c *Control) { c.freeze() }, func(c *Control) { c.thaw() })
+	}},
+	{"cut off and then it decides", func(f *Fleet) {
+		f.awayThenDecides(func(c *Control) { f.isolate(c.ip, f.controlHosts(), 0, stormAwayUs) }, func(*Control) {})
+	}},
+	{"wiped and then it decides", func(f *Fleet) {
+		f.awayThenDecides(func(c *Control) { f.killControl(c, true); c.disk = nil }, func(c *Control) { f.backControl(c) })
+	}},
+}
+
+const stormAwayUs = 10_000_000
+
+// awayThenDecides has a control process away for most of a storm; once it is back
+// and had its time to catch up, another one is lost.
+func (f *Fleet) awayThenDecides(leave, back func(c *Control)) {
+	i := f.R.IntN(3)
+	c, other := f.controls[i], f.controls[(i+1+f.R.IntN(2))%3]
+	leave(c)
+	f.After(stormAwayUs, func() { back(c) })
+	f.After(stormAwayUs+contactUs+f.Between(100_000, 500_000), func() {
+		f.killControl(other, true)
+		f.later(2_000_000, 4_000_000, func() { f.backControl(other) })
+	})
+}
+
+// stormed runs a storm of changes under callers, with a fault in the middle.
+func stormed(p Plan, changes int, fault func(f *Fleet)) (f *Fleet, acked int) {
+	f = NewFleet(p)
+	f.Quiet = true
+	f.Run(4_000_000)
+	f.startCallers()
+	f.Run(f.Now + 500_000)
+	at := 1 + f.R.IntN(changes*2/3)
+	struck, after := false, f.Chance(0.5)
+	f.storm(changes, func(n int) {
+		acked = n
+		if n >= at && !struck {
+			struck = true
+			us := int64(0)
+			if !after { // some time into the next one
+				us = f.Between(100, 60_000)
+			}
+			f.After(us, func() { fault(f) })
+		}
+	})
+	for until := f.Now + 60_000_000; f.Now < until && (acked < changes-20 || !struck); {
+		f.Run(f.Now + 500_000)
+	}
+	f.Run(f.Now + 8_000_000)
+	f.Finish()
+	return f, acked
+}
+
+// TestStormOfChanges: 300 changes under way, and in their midst each of the
+// faults that strike all, or that have one control process away and then decide.
+// No rule is broken, and nearly all changes are acknowledged.
+func TestStormOfChanges(t *testing.T) {
+	const changes = 300
+	for i, k := range stormFaults {
+		t.Run(strings.ReplaceAll(k.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			n := uint64(2)
+			if *seeds > 0 {
+				n = *seeds
+			}
+			total, least := 0, changes
+			for seed := *from; seed < *from+n; seed++ {
+				f, acked := stormed(plan(uint64(i)*1000+seed), changes, k.do)
+				told(t, f)
+				total, least = total+acked, min(least, acked)
+				if acked < changes*9/10 {
+					t.Errorf("seed %d: %d of %d changes were acknowledged", seed, acked, changes)
+				}
+			}
+			t.Logf("%d seeds: %d changes acknowledged, %d of %d at the least", n, total, least, changes)
+		})
+	}
+}
+
+// TestPlantedStorm: control processes whose words leave before they are synced
+// are seen when the power is lost in a storm.
+func TestPlantedStorm(t *testing.T) {
+	t.Parallel()
+	const tries = 6
+	seen, first := 0, ""
+	var mu sync.Mutex
+	each(tries, 0, func(seed uint64) {
+		p := plan(seed)
+		p.Plant = UnsyncedDisk
+		f, _ := stormed(p, 60, func(f *Fleet) { f.powerLost() })
+		mu.Lock()
+		defer mu.Unlock()
+		for _, v := range f.Violations() {
+			if strings.Contains(v, " LOST:") || strings.Contains(v, " CONFIG:") {
+				seen, first = seen+1, v
+				return
+			}
+		}
+	})
+	t.Logf("%d of %d seeds show it: %s", seen, tries, first)
+	if 2*seen < tries {
+		t.Errorf("only %d of %d seeds show it", seen, tries)
+	}
+}
