--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -116,6 +116,10 @@
 	allEvery      = 250_000 // groups of which nothing was heard are gone through
 )
 
+// toldRevision is the newest revision accepted of a register, and the number of the
+// change that brought it.
+type toldRevision struct{ revision, seq uint64 }
+
 // Core is one control process.
 type Core struct {
 	self          string
@@ -128,6 +132,7 @@
 	insts         *records.Store
 	seqs          map[string]uint64 // key of a cell or record to the number of its newest change
 	seq           uint64
+	revisions     map[string]toldRevision // of each register
 	follow        map[string]*follower
 	groups        map[string]*group
 	table         ports.RoutingTable
@@ -144,6 +149,8 @@
 	leaving       bool
 	began         int64
 	lastStep      int64
+	pacing        pacing
+	apart         int64 // when this process was last without a majority's lease
 	nextCmp       int64
 	nextGone      int64
 	nextAll       int64
@@ -171,11 +178,12 @@
 	c := &Core{self: self, run: run, boot: b, voter: v, proposer: paxos.NewProposer(self, fmt.Sprint(run), b.SeedVoters()),
 		reconfigurer: paxos.NewReconfigurer(self, fmt.Sprint(run)),
 		view:         voterview.New(self, b.SeedVoters(), b.Zone, b.Name, "control", run), insts: records.New(self),
-		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
+		seqs: map[string]uint64{}, revisions: map[string]toldRevision{}, follow: map[string]*follower{}, groups: map[string]*group{},
 		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
+	c.pacing = pacing{}
 	return c
 }
 
@@ -194,6 +202,9 @@
 func (c *Core) bump(k string) {
 	c.seq++
 	c.seqs[k] = c.seq
+	if d := c.cells[k]; d != nil && c.revisions[k].revision != d.Value.Revision {
+		c.revisions[k] = toldRevision{revision: d.Value.Revision, seq: c.seq}
+	}
 	c.changed = true
 }
 
@@ -223,6 +234,9 @@
 		c.began = now
 	}
 	c.lastStep = now
+	if now >= c.view.LeaseUntil() {
+		c.apart = now
+	}
 	for _, e := range evs {
 		c.event(now, e)
 		c.drain(now)
@@ -256,7 +270,7 @@
 	for _, s := range ss {
 		if s.To == c.self {
 			c.own = append(c.own, s.Env)
-		} else {
+		} else if c.pacing.mayAnswer(c.lastStep, s) {
 			c.fx.Send = append(c.fx.Send, s)
 		}
 	}
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -51,6 +51,8 @@
 	since := m.Seq
 	if m.Life != c.run {
 		since = 0
+	} else {
+		c.pacing.came(from, since)
 	}
 	for _, ss := range [][]*schema.Sighting{f.sights, m.Sightings} {
 		for _, s := range ss {
@@ -65,9 +67,11 @@
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
 	}
-	f.returned = now
-	c.send(step.Send{To: from, Env: c.news(from, f, m.Number)})
-	f.seq = c.seq // what does not arrive shows in the next look
+	if e := c.news(from, f, m.Number); c.pacing.may(now, heavyTo{from, heavyNews}, e, c.seq) {
+		f.returned = now
+		c.send(step.Send{To: from, Env: e})
+		f.seq = c.seq // what does not arrive shows in the next look
+	}
 }
 
 // news is what changed since a follower's last look.
@@ -90,7 +94,10 @@
 				r.Instances = append(r.Instances, c.insts.Get(k))
 			} else if d := c.cells[k]; d != nil {
 				w := &schema.Cell{Key: k, Accepted: d.Accepted, Value: &schema.Value{Revision: d.Value.Revision}}
-				if f.bodies || k != voterview.TableKey {
+				// A revision that was told, and is agreed anew under another membership, keeps
+				// its data.
+				told := k == voterview.TableKey && f.seq > 0 && c.revisions[k].revision == d.Value.Revision && c.revisions[k].seq <= f.seq
+				if !told && (f.bodies || k != voterview.TableKey) {
 					w.Value.Data = d.Value.Data
 				}
 				r.Cells = append(r.Cells, w)
@@ -105,8 +112,10 @@
 	for _, a := range slices.Sorted(maps.Keys(c.follow)) {
 		f := c.follow[a]
 		if now-f.at < followFor && f.seq < c.seq {
-			c.send(step.Send{To: a, Env: c.news(a, f, 0)})
-			f.seq = c.seq
+			if e := c.news(a, f, 0); c.pacing.may(now, heavyTo{a, heavyNews}, e, c.seq) {
+				c.send(step.Send{To: a, Env: e})
+				f.seq = c.seq
+			}
 		}
 	}
 }
--- a/coordinator/voting.go
+++ b/coordinator/voting.go
@@ -119,7 +119,7 @@
 	c.nextCatch = now + catchUpEvery/2
 	for _, k := range c.voter.Keys() {
 		switch {
-		case !c.view.Doubt(k) && !c.voter.Stale(k):
+		case c.view.Settled(k) || !c.view.Doubt(k) && !c.voter.Stale(k):
 			delete(c.catching, k)
 		case c.catching[k] == 0:
 			c.catching[k] = now + catchUpEvery + int64(step.Hash(c.self, k)%catchUpEvery)
--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -60,6 +60,7 @@
 	states     map[string]*schema.StateResponse // towards membership
 	candidates map[string]Candidate
 	nextSend   int64
+	asked      int  // requests for state made
 	logged     bool // the identity and the founders are on disk
 	leaving    bool
 }
@@ -271,9 +272,16 @@
 	}
 	r := a.at(m.Key)
 	answer := &schema.Accepted{Key: m.Key, Attempt: m.Attempt, Membership: a.active, Life: a.life}
-	fits := m.Key != MembershipKey || m.Value.GetRevision() <= a.active+1 // one successor at a time
+	value := m.Value
+	if m.Same != nil {
+		if r.value == nil || !Same(m.Same, r.accepted) {
+			return // the proposer sends it whole when it tries again
+		}
+		value = r.value
+	}
+	fits := m.Key != MembershipKey || value.GetRevision() <= a.active+1 // one successor at a time
 	if fits && m.Ballot.GetMembership() == a.active && !Less(m.Ballot, r.promised) {
-		r.promised, r.accepted, r.value = copyBallot(m.Ballot), copyBallot(m.Ballot), m.Value
+		r.promised, r.accepted, r.value = copyBallot(m.Ballot), copyBallot(m.Ballot), value
 		answer.Given = true
 		fx.Log = append(fx.Log, a.logCell(m.Key))
 		fx.Accepted = append(fx.Accepted, m.Key)
@@ -308,7 +316,7 @@
 	if m.Number <= a.membership.Number {
 		return
 	}
-	a.membership, a.nextSend = m, 0
+	a.membership, a.nextSend, a.asked = m, 0, 0
 	a.states = map[string]*schema.StateResponse{}
 	fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life, Membership: m.Message()})
 	a.logged = true
--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -233,8 +233,12 @@
 	if a.mine {
 		a.asked = true
 	}
-	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: &schema.Accept{
-		Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}}})
+	accept := &schema.Accept{Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}
+	if !a.mine && a.tries == 0 && a.value != nil {
+		// Most voters hold it already; it may be large.
+		accept.Value, accept.Same = nil, copyBallot(cur.Accepted)
+	}
+	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: accept}})
 }
 
 // counts reports whether a reply is of a voter under the membership that this
--- a/paxos/transfer.go
+++ b/paxos/transfer.go
@@ -5,22 +5,42 @@
 	"slices"
 
 	"stoneford/schema"
+	"stoneford/step"
 )
 
+// requestsPerSource is how often a newcomer asks one process for its state before
+// it asks the next.
+const requestsPerSource = 8
+
 // requestState asks for what was held under the membership before this
-// acceptor's, and of those that vote under it already.
+// acceptor's, and of those that vote under it already. One that holds nothing of the
+// membership before asks one process at a time: what it is sent may be large, and a
+// single voter of the present membership is enough.
 func (a *Acceptor) requestState(fx *Effects) {
-	to := maps.Clone(a.membership.Voters)
-	maps.Copy(to, a.membership.Previous)
-	for _, address := range slices.Sorted(maps.Keys(to)) {
-		if address != a.self {
-			a.send(fx, address, &schema.Envelope{Body: &schema.Envelope_StateRequest{
-				StateRequest: &schema.StateRequest{Membership: a.membership.Message()}}})
+	sources := step.Rank(a.self, a.membership.Addresses())
+	for _, address := range slices.Sorted(maps.Keys(a.membership.Previous)) {
+		if !slices.Contains(sources, address) {
+			sources = append(sources, address)
 		}
 	}
+	sources = slices.DeleteFunc(sources, func(address string) bool { return address == a.self })
+	if !a.held(a.self, a.life) && len(sources) > 0 {
+		at := a.asked / requestsPerSource % len(sources)
+		a.asked++
+		sources = sources[at : at+1]
+	}
+	for _, address := range sources {
+		a.send(fx, address, &schema.Envelope{Body: &schema.Envelope_StateRequest{
+			StateRequest: &schema.StateRequest{Membership: a.membership.Message(), Life: a.life}}})
+	}
 	a.activate(fx)
 }
 
+// held reports whether a disk voted under the membership before the newest.
+func (a *Acceptor) held(address string, life uint64) bool {
+	return holds(a.membership.Previous, address, life)
+}
+
 // requestVote asks the voters to be made one of them.
 func (a *Acceptor) requestVote(fx *Effects) {
 	for _, address := range a.membership.Addresses() {
@@ -55,6 +75,9 @@
 	if a.active+1 < wanted.Number || a.active == 0 {
 		return // it never held what was chosen under the membership before
 	}
+	if a.active < wanted.Number && a.membership.Has(a.self, a.life) && !a.held(from, m.Life) {
+		return // a newcomer is better served once this acceptor votes
+	}
 	a.send(fx, from, &schema.Envelope{Body: &schema.Envelope_StateResponse{StateResponse: &schema.StateResponse{
 		Membership: wanted.Number, Active: a.active, Life: a.life, Cells: a.cells()}}})
 }
@@ -64,7 +87,7 @@
 		return
 	}
 	current := m.Active == a.membership.Number && a.membership.Has(from, m.Life)
-	previous := m.Active+1 == a.membership.Number && holds(a.membership.Previous, from, m.Life)
+	previous := m.Active+1 == a.membership.Number && a.held(from, m.Life)
 	if !current && !previous {
 		return
 	}
@@ -120,7 +143,7 @@
 		previous = append(previous, s)
 	}
 	held := len(previous)
-	if a.active > 0 && a.active+1 == a.membership.Number && holds(a.membership.Previous, a.self, a.life) {
+	if a.active > 0 && a.active+1 == a.membership.Number && a.held(a.self, a.life) {
 		held++ // what it holds itself
 	}
 	return previous, held > len(a.membership.Previous)/2
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -76,8 +76,9 @@
 
 // Chosen is an agreed value.
 type Chosen struct {
-	Revision uint64
-	Data     []byte
+	Revision   uint64
+	Data       []byte
+	membership uint64 // number of the newest one under which it is known to be agreed
 }
 
 // Report is what a process tells the voters with its looks.
@@ -215,6 +216,12 @@
 // Doubt says that a voter holds something newer than what is known as agreed.
 func (v *View) Doubt(k string) bool { return v.seen[k] > v.chosen[k].Revision }
 
+// Settled reports whether the newest revision heard of is agreed under the newest
+// membership, though its data may be on its way.
+func (v *View) Settled(k string) bool {
+	return v.missing[k] > 0 || !v.Doubt(k) && v.chosen[k].membership == v.membership.Number
+}
+
 // Heard is when a voter last returned something, 0 for never.
 func (v *View) Heard(o string) int64 {
 	if x := v.vs[o]; x != nil {
@@ -416,7 +423,9 @@
 func (v *View) settle(k string) {
 	for _, x := range v.vs {
 		c := x.cells[k]
-		if c == nil || c.Value.GetRevision() <= v.chosen[k].Revision || c.Accepted.GetMembership() != v.membership.Number {
+		known := v.chosen[k]
+		if c == nil || c.Value.GetRevision() < known.Revision || c.Accepted.GetMembership() != v.membership.Number ||
+			c.Value.GetRevision() == known.Revision && known.membership == v.membership.Number {
 			continue
 		}
 		count := 0
@@ -432,6 +441,11 @@
 		if count < v.membership.Quorum() {
 			continue
 		}
+		if c.Value.GetRevision() == known.Revision {
+			known.membership = v.membership.Number
+			v.chosen[k] = known
+			continue
+		}
 		if data == nil {
 			// Agreed, and the body is most often on its way.
 			if v.missing[k] == 0 {
@@ -440,7 +454,7 @@
 			continue
 		}
 		delete(v.missing, k)
-		v.chosen[k] = Chosen{Revision: c.Value.GetRevision(), Data: data}
+		v.chosen[k] = Chosen{Revision: c.Value.GetRevision(), Data: data, membership: v.membership.Number}
 		v.changed[k] = true
 	}
 }
