--- a/coordinator/pacing.go
+++ b/coordinator/pacing.go
@@ -65,7 +65,7 @@
 
 // forget notes that a process began anew: what was on its way is lost.
 func (p pacing) forget(to string) {
-	for _, k := range []heavyKind{heavyNews, heavyJoin, heavyPromise} {
+	for _, k := range []heavyKind{heavyNews, heavyState, heavyPromise} {
 		delete(p, heavyTo{to, k})
 	}
 }
