Contact with a majority before serving: a control process that is cut off refuses at once

Cause, as found: Announce acknowledged an ordinary heartbeat with no majority contact at all, so a cut-off process kept a database's beats to itself while the others counted it as gone. Readings and orders did rest on a majority, but a process that could not reach one held every call for changeExpiry, 4 s; orders queued in that time could be put in force after the cut, when their sender had gone on long ago. A call that came before the log was read, or to a loop that stood still, waited without a bound.

Ruled out: that a cut-off process handed out a table, confirmed or refused an order by itself.

A call is admitted only under the lease that looks give; it is refused when the lease is lost or 0.8 s are over (3 ms more a route), and an answer that comes later than that is not given. Beats are acknowledged only under the lease, leaves once a majority has them, as before. GET /v1/moves says 503 beside what it knows; package control refuses at once where so many voters are known to be silent, and its status and readiness say whether it reaches a majority. design 17 has the table of all that is said and what it rests on.

--- a/cmd/stoneford/main.go
+++ b/cmd/stoneford/main.go
@@ -250,5 +250,8 @@
 	if !s.Formed {
 		fmt.Println("\nthis control process does not vote yet")
 	}
+	if !s.Majority {
+		fmt.Println("\nthis control process reaches no majority of the others: what it shows may be old")
+	}
 	return nil
 }
--- a/control/core.go
+++ b/control/core.go
@@ -204,10 +204,7 @@
 	case PutConfiguration:
 		c.putConfiguration(now, e)
 	case GetConfiguration:
-		c.read(now, ConfigPrefix+e.Partner, func(now int64, o ballots.Outcome) {
-			r := Return{ID: e.ID, Code: verdict(o.Verdict, false), Revision: o.Value.GetRevision(), Text: text(o.Value)}
-			c.fx.Do = append(c.fx.Do, r)
-		})
+		c.getConfiguration(now, e)
 	case DatabaseSaid:
 		if g := c.groups[e.Group]; g != nil {
 			g.decider.Said(now, e.ID, e.Err, e.Status)
@@ -346,6 +343,10 @@
 func (c *Core) putConfiguration(now int64, e PutConfiguration) {
 	key := ConfigPrefix + e.Partner
 	ret := func(r Return) { r.ID = e.ID; c.fx.Do = append(c.fx.Do, r) }
+	if !c.reachesMajority() {
+		ret(Return{Code: result.NoVoterMajority})
+		return
+	}
 	c.read(now, key, func(now int64, o ballots.Outcome) {
 		cur := o.Value
 		switch {
--- a/control/operators.go
+++ b/control/operators.go
@@ -168,9 +168,12 @@
 		Members []*schema.Member `json:"members"`
 	}
 	Status struct {
-		Formed bool          `json:"votes"`
-		Nodes  []NodeStatus  `json:"nodes"`
-		Groups []GroupStatus `json:"groups"`
+		Formed bool `json:"votes"`
+		// Majority says that this process reaches a majority of the voters; without
+		// it what follows may be old.
+		Majority bool          `json:"majority"`
+		Nodes    []NodeStatus  `json:"nodes"`
+		Groups   []GroupStatus `json:"groups"`
 	}
 )
 
@@ -180,7 +183,7 @@
 	}
 	s := Status{Nodes: []NodeStatus{}, Groups: []GroupStatus{}}
 	p.see(func(c *Core, _ int64) {
-		s.Formed = c.formed
+		s.Formed, s.Majority = c.formed, c.reachesMajority()
 		for _, n := range c.Nodes() {
 			s.Nodes = append(s.Nodes, NodeStatus{Address: n.Address, Name: n.Name, Kind: n.Kind, Zone: n.Zone, Partner: n.Partner, HTTP: n.Http, Alive: n.Alive, Leaving: n.Leaving})
 		}
@@ -195,6 +198,6 @@
 
 func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
 	var ok bool
-	p.see(func(c *Core, _ int64) { ok = c.formed })
+	p.see(func(c *Core, _ int64) { ok = c.formed && c.reachesMajority() })
 	giveJSON(w, lo.Ternary(ok, http.StatusOK, http.StatusServiceUnavailable), map[string]bool{"ready": ok})
 }
--- a/coordinator/announcements.go
+++ b/coordinator/announcements.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"math"
 	"slices"
 
 	"stoneford/result"
@@ -9,6 +11,10 @@
 	"stoneford/voterview"
 )
 
+// ackExpiry is how long a database waits at most for the acknowledgement of its
+// leave. It calls another process after a second of silence.
+const ackExpiry = 900_000
+
 type ack struct {
 	id    uint64
 	recs  []*schema.Record
@@ -17,9 +23,10 @@
 	again int64
 }
 
-// announce takes a database's word. What rests on its acknowledgement, that it
-// leaves or is gone, is acknowledged once a majority of control processes has
-// it.
+// announce takes a database's word (design 17). A process without contact with a
+// majority keeps and passes on what it can, and acknowledges nothing: the database
+// is to call another one. That a database leaves or is gone is acknowledged once a
+// majority of the voters has it.
 func (c *Core) announce(now int64, e Announce) {
 	k := voterview.DatabasePrefix + e.Instance.ID
 	if o := c.insts.Get(k); o != nil && e.Instance.Gone {
@@ -32,15 +39,16 @@
 	told := c.merge(now, []*schema.Record{r})
 	c.beats[e.Instance.ID]++
 	rests := e.Instance.Leaving || e.Instance.Gone
-	pass := told || rests || c.beats[e.Instance.ID] >= renewEvery
+	contact := c.inContact(now)
+	pass := told || rests || !contact || c.beats[e.Instance.ID] >= renewEvery
 	if pass {
 		c.beats[e.Instance.ID] = 0
 	}
-	if !rests {
+	if !rests || !contact {
 		if pass {
 			c.announced(0, []*schema.Record{r})
 		}
-		c.fx.Do = append(c.fx.Do, Announced{ID: e.ID, OK: true})
+		c.fx.Do = append(c.fx.Do, Announced{ID: e.ID, OK: contact})
 		return
 	}
 	c.number++
@@ -49,6 +57,31 @@
 	c.acked(c.self, c.number)
 }
 
+// announceAgain repeats what a majority has not acknowledged yet, and refuses it
+// when its time is over or the contact with a majority is lost.
+func (c *Core) announceAgain(now int64) {
+	for _, n := range slices.Sorted(maps.Keys(c.acks)) {
+		a := c.acks[n]
+		switch {
+		case now >= a.until || !c.inContact(now):
+			delete(c.acks, n)
+			c.fx.Do = append(c.fx.Do, Announced{ID: a.id})
+		case now >= a.again:
+			a.again = now + ackAgain
+			c.announced(n, a.recs)
+		}
+	}
+}
+
+// announceDue is when announceAgain has something to do next.
+func (c *Core) announceDue() int64 {
+	due := int64(math.MaxInt64)
+	for _, a := range c.acks {
+		due = min(due, a.until, a.again, c.view.LeaseUntil())
+	}
+	return due
+}
+
 func (c *Core) announced(n uint64, rs []*schema.Record) {
 	for _, o := range c.view.Voters() {
 		if o != c.self {
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,13 +8,11 @@
 	"fmt"
 	"maps"
 	"math"
-	"slices"
 
 	"stoneford/ballots"
 	"stoneford/ports"
 	"stoneford/records"
 	"stoneford/result"
-	"stoneford/routingtable"
 	"stoneford/schema"
 	"stoneford/step"
 	"stoneford/switchover"
@@ -101,7 +99,6 @@
 
 const (
 	changeExpiry  = 4_000_000
-	ackExpiry     = 900_000
 	ackAgain      = 200_000
 	compareEvery  = 5_000_000
 	followFor     = 4_000_000 // a node that did not look so long is not told any more
@@ -134,7 +131,9 @@
 	pending   map[string]func(int64, ballots.Outcome)
 	catching  map[string]int64
 	acks      map[uint64]*ack
-	beats     map[string]int // announcements of a database since one was passed on
+	calls     map[uint64]*call
+	orders    map[string]*order // by name, while they are decided here
+	beats     map[string]int    // announcements of a database since one was passed on
 	names     uint64
 	number    uint64
 	formed    bool
@@ -177,7 +176,7 @@
 	c := &Core{self: self, run: run, boot: b, voter: v, proposer: ballots.NewProposer(self, fmt.Sprint(run), voters),
 		view: voterview.New(self, seen, b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, follow: map[string]*follower{}, groups: map[string]*group{},
-		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, beats: map[string]int{}, all: map[string]uint64{}}
+		pending: map[string]func(int64, ballots.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, calls: map[uint64]*call{}, orders: map[string]*order{}, beats: map[string]int{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
@@ -277,10 +276,7 @@
 	case CancelMove:
 		c.cancelMove(now, e)
 	case Fetch:
-		c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
-			t, err := routingtable.Decode(o.Value.GetData())
-			c.fx.Do = append(c.fx.Do, Fetched{ID: e.ID, Table: t, OK: o.Verdict == ballots.Agreed && err == nil && t.Revision > 0})
-		})
+		c.fetch(now, e)
 	case Said:
 		if g := c.groups[e.Group]; g != nil {
 			g.decider.Said(now, e.Said)
@@ -356,17 +352,8 @@
 	c.proposed(now, c.proposer.Tick(now))
 	c.send(c.view.Tick(now, c.report)...)
 	c.drain(now)
-	for _, n := range slices.Sorted(maps.Keys(c.acks)) {
-		a := c.acks[n]
-		switch {
-		case now >= a.until:
-			delete(c.acks, n)
-			c.fx.Do = append(c.fx.Do, Announced{ID: a.id})
-		case now >= a.again:
-			a.again = now + ackAgain
-			c.announced(n, a.recs)
-		}
-	}
+	c.refuseCalls(now)
+	c.announceAgain(now)
 	if now >= c.nextCmp {
 		c.nextCmp = now + compareEvery
 		c.turn++
@@ -391,9 +378,7 @@
 	if c.ill && c.diskAt > 0 {
 		d = min(d, c.diskAt)
 	}
-	for _, a := range c.acks {
-		d = min(d, a.until, a.again)
-	}
+	d = min(d, c.callsDue(), c.announceDue())
 	for k, at := range c.catching {
 		if c.view.Doubt(k) {
 			d = min(d, max(at, c.nextCatch))
--- a/coordinator/moves.go
+++ b/coordinator/moves.go
@@ -51,8 +51,12 @@
 const (
 	mostBehind = 8
 	moveAgain  = 4_000_000 // a change of a move that nobody ended is put again
+	moveWithin = changeExpiry
 )
 
+// moveUnavailable ends what was asked of a move where no majority can be asked.
+var moveUnavailable = MoveResult{Outcome: ports.Unavailable, Problem: "no majority of control processes can be reached now; look at the moves, then ask again"}
+
 // lookedBy notes by which routing table whoever looks works, and what a voter
 // says of those that look at it.
 func (c *Core) lookedBy(now int64, from string, f *follower, m *schema.Look) {
@@ -252,12 +256,15 @@
 
 // moveTo puts a group's new site into the newest routing table.
 func (c *Core) moveTo(now int64, e Move) {
-	ret := func(o ports.Outcome, table uint64, f string, a ...any) {
-		c.fx.Do = append(c.fx.Do, Moved{ID: e.ID, Result: MoveResult{Outcome: o, Table: table, Problem: fmt.Sprintf(f, a...)}})
+	if !c.admit(now, e.ID, moveWithin, Moved{ID: e.ID, Result: moveUnavailable}) {
+		return
+	}
+	ret := func(now int64, o ports.Outcome, table uint64, f string, a ...any) {
+		c.answer(now, e.ID, Moved{ID: e.ID, Result: MoveResult{Outcome: o, Table: table, Problem: fmt.Sprintf(f, a...)}})
 	}
 	c.bothRead(now, e.Group, func(now int64, t ports.RoutingTable, rev uint64, m *schema.Move, _ uint64, ok bool) {
 		if !ok {
-			ret(ports.Unavailable, 0, "no majority of control processes replied")
+			ret(now, ports.Unavailable, 0, "no majority of control processes replied")
 			return
 		}
 		p, has := t.Placement(e.Group)
@@ -275,16 +282,16 @@
 		}
 		switch {
 		case !slices.ContainsFunc(t.Groups, func(g ports.Group) bool { return g.Name == e.Group }):
-			ret(ports.Invalid, 0, "the routing table has no group %q", e.Group)
+			ret(now, ports.Invalid, 0, "the routing table has no group %q", e.Group)
 			return
 		case !some:
-			ret(ports.Invalid, 0, "no database of %s is announced at %q", e.Group, e.Site)
+			ret(now, ports.Invalid, 0, "no database of %s is announced at %q", e.Group, e.Site)
 			return
 		case zone == "":
-			ret(ports.Stale, 0, "%s has no primary that is announced", e.Group)
+			ret(now, ports.Stale, 0, "%s has no primary that is announced", e.Group)
 			return
 		case has && pends(p, m) || phaseOf(m).UnderWay():
-			ret(ports.Stale, m.Table, "%s is being moved to %s already", e.Group, p.Site)
+			ret(now, ports.Stale, m.Table, "%s is being moved to %s already", e.Group, p.Site)
 			return
 		}
 		from := zone
@@ -294,11 +301,11 @@
 		c.place(now, rev, t, ports.Placement{Group: e.Group, Site: e.Site, From: from}, func(now int64, o ballots.Outcome) {
 			switch o.Verdict {
 			case ballots.Agreed:
-				ret(ports.Agreed, rev+1, "")
+				ret(now, ports.Agreed, rev+1, "")
 			case ballots.Lost:
-				ret(ports.Stale, 0, "the routing table was changed at the same time; ask again")
+				ret(now, ports.Stale, 0, "the routing table was changed at the same time; ask again")
 			default:
-				ret(ports.Unavailable, 0, "whether it was taken is not known; look at the moves")
+				ret(now, ports.Unavailable, 0, "whether it was taken is not known; look at the moves")
 			}
 		})
 	})
@@ -323,33 +330,36 @@
 
 // cancelMove ends a move that is not agreed yet.
 func (c *Core) cancelMove(now int64, e CancelMove) {
-	ret := func(o ports.Outcome, table uint64, problem string) {
-		c.fx.Do = append(c.fx.Do, Moved{ID: e.ID, Result: MoveResult{Outcome: o, Table: table, Problem: problem}})
+	if !c.admit(now, e.ID, moveWithin, Moved{ID: e.ID, Result: moveUnavailable}) {
+		return
+	}
+	ret := func(now int64, o ports.Outcome, table uint64, problem string) {
+		c.answer(now, e.ID, Moved{ID: e.ID, Result: MoveResult{Outcome: o, Table: table, Problem: problem}})
 	}
 	c.bothRead(now, e.Group, func(now int64, t ports.RoutingTable, _ uint64, m *schema.Move, rev uint64, ok bool) {
 		p, has := t.Placement(e.Group)
 		switch {
 		case !ok:
-			ret(ports.Unavailable, 0, "no majority of control processes replied")
+			ret(now, ports.Unavailable, 0, "no majority of control processes replied")
 			return
 		case has && pends(p, m) && phaseOf(m) != ports.MoveAgreed:
 			m = &schema.Move{To: p.Site, From: p.From, Table: p.Table}
 		case phaseOf(m) == ports.MoveAgreed:
-			ret(ports.Stale, m.Table, "all work by the new table: the switch is being carried out")
+			ret(now, ports.Stale, m.Table, "all work by the new table: the switch is being carried out")
 			return
 		case phaseOf(m) != ports.MoveStaged:
-			ret(ports.Stale, m.Table, "no move of it is staged")
+			ret(now, ports.Stale, m.Table, "no move of it is staged")
 			return
 		}
 		m.Phase, m.Cause = uint32(ports.MoveCancelled), "an operator took it back"
-		c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MovePrefix + e.Group, Base: rev, Data: encodeMove(m), Expiry: now + changeExpiry}, func(_ int64, o ballots.Outcome) {
+		c.ask(now, ballots.Change{Name: c.name(), Key: voterview.MovePrefix + e.Group, Base: rev, Data: encodeMove(m), Expiry: now + changeExpiry}, func(now int64, o ballots.Outcome) {
 			switch o.Verdict {
 			case ballots.Agreed:
-				ret(ports.Agreed, m.Table, "")
+				ret(now, ports.Agreed, m.Table, "")
 			case ballots.Lost:
-				ret(ports.Stale, m.Table, "the move went on at the same time; look at the moves")
+				ret(now, ports.Stale, m.Table, "the move went on at the same time; look at the moves")
 			default:
-				ret(ports.Unavailable, 0, "whether it was taken back is not known; look at the moves")
+				ret(now, ports.Unavailable, 0, "whether it was taken back is not known; look at the moves")
 			}
 		})
 	})
--- a/coordinator/moves_http.go
+++ b/coordinator/moves_http.go
@@ -37,6 +37,13 @@
 // movesAsked asks the loop for the moves.
 type movesAsked struct{ id uint64 }
 
+// movesKnown ends a movesAsked: the moves as this process knows them, and whether
+// it is in contact with a majority.
+type movesKnown struct {
+	moves   []MoveState
+	contact bool
+}
+
 // Move asks that a group's primary serve at another site.
 func (p *Process) Move(ctx context.Context, group, site string) MoveResult {
 	v, _ := p.call(ctx, func(id uint64) any { return Move{ID: id, Group: group, Site: site} }).(Moved)
@@ -49,10 +56,11 @@
 	return v.Result
 }
 
-// Moves are the placements and how they stand, as this process knows.
+// Moves are the placements and how they stand, as this process knows, and whether
+// it is in contact with a majority.
 func (p *Process) Moves(ctx context.Context) ([]MoveState, bool) {
-	v, ok := p.call(ctx, func(id uint64) any { return movesAsked{id} }).([]MoveState)
-	return v, ok
+	v, ok := p.call(ctx, func(id uint64) any { return movesAsked{id} }).(movesKnown)
+	return v.moves, ok && v.contact
 }
 
 // MountMoves puts the moves' handlers on an operators' mux.
@@ -62,7 +70,7 @@
 		defer stop()
 		ms, ok := p.Moves(ctx)
 		if !ok {
-			reply(w, MoveReply{Code: result.NoVoterMajority})
+			reply(w, MoveReply{Code: result.NoVoterMajority, Moves: ms})
 			return
 		}
 		reply(w, MoveReply{Code: result.OK, Moves: ms})
--- a/coordinator/operators.go
+++ b/coordinator/operators.go
@@ -9,47 +9,90 @@
 	"stoneford/voterview"
 )
 
-// change reads the newest table through a majority, checks the change against it
-// and puts it to the vote.
+// order is an operator's change that is being decided by this process, and the
+// callers that wait for the outcome: the same order sent again joins it.
+type order struct {
+	change  ports.TableChange
+	callers []uint64
+	until   int64
+}
+
+// change takes an operator's order: it reads the newest table through a majority,
+// checks the order against it and puts it to the vote.
 func (c *Core) change(now int64, e Change) {
-	ret := func(o ports.Outcome, rev uint64, ps ...string) {
-		c.fx.Do = append(c.fx.Do, Changed{ID: e.ID, Result: ports.ChangeResult{Outcome: o, Revision: rev, Problems: ps}})
-	}
-	c.read(now, voterview.TableKey, func(now int64, o ballots.Outcome) {
-		cur, err := routingtable.Decode(o.Value.GetData())
-		switch {
-		case o.Verdict != ballots.Agreed || err != nil:
-			ret(ports.Unavailable, 0)
-			return
-		case slices.Contains(o.Value.GetChanges(), e.Change.Name):
-			ret(ports.Agreed, cur.Revision) // sent again
-			return
-		case cur.Revision != e.Change.Base:
-			ret(ports.Stale, cur.Revision)
-			return
-		}
-		next, ps := routingtable.Apply(cur, e.Change)
-		if len(ps) > 0 {
-			ret(ports.Invalid, cur.Revision, ps...)
-			return
-		}
-		// Two processes may be putting the very same change to the vote, sent
-		// twice: they share its name, so it is made once.
-		name := e.Change.Name
-		if c.pending[name] != nil {
-			ret(ports.Unavailable, cur.Revision)
-			return
-		}
-		c.ask(now, ballots.Change{Name: name, Key: voterview.TableKey, Base: o.Value.GetRevision(), Data: routingtable.Encode(next), Expiry: now + changeExpiry}, func(now int64, o ballots.Outcome) {
-			t, _ := routingtable.Decode(o.Value.GetData())
-			switch o.Verdict {
-			case ballots.Agreed:
-				ret(ports.Agreed, t.Revision)
-			case ballots.Lost:
-				ret(ports.Stale, t.Revision)
-			default:
-				ret(ports.Unavailable, 0)
-			}
-		})
+	within := answerWithin + answerPerRoute*int64(len(e.Change.Routes))
+	if !c.admit(now, e.ID, within, Changed{ID: e.ID, Result: unavailable}) {
+		return
+	}
+	if o := c.orders[e.Change.Name]; o != nil {
+		o.callers = append(o.callers, e.ID)
+		return
+	}
+	o := &order{change: e.Change, callers: []uint64{e.ID}, until: now + changeExpiry}
+	c.orders[e.Change.Name] = o
+	c.read(now, voterview.TableKey, func(now int64, read ballots.Outcome) { c.judge(now, o, read) })
+}
+
+// judge decides an order by the newest table, as a reading or a vote that was
+// lost brought it. Without one there is no clear answer.
+func (c *Core) judge(now int64, o *order, newest ballots.Outcome) {
+	current, err := routingtable.Decode(newest.Value.GetData())
+	known := newest.Verdict == ballots.Agreed || newest.Value != nil
+	if !known || err != nil || now >= o.until {
+		c.ended(now, o, unavailable)
+		return
+	}
+	if slices.Contains(newest.Value.GetChanges(), o.change.Name) {
+		c.ended(now, o, ports.ChangeResult{Outcome: ports.Agreed, Revision: current.Revision}) // sent again
+		return
+	}
+	if current.Revision != o.change.Base {
+		c.ended(now, o, ports.ChangeResult{Outcome: ports.Stale, Revision: current.Revision})
+		return
+	}
+	next, problems := routingtable.Apply(current, o.change)
+	if len(problems) > 0 {
+		c.ended(now, o, ports.ChangeResult{Outcome: ports.Invalid, Revision: current.Revision, Problems: problems})
+		return
+	}
+	// Other processes may put the very same order to the vote. They share its
+	// name, so it is made once.
+	c.ask(now, ballots.Change{Name: o.change.Name, Key: voterview.TableKey, Base: newest.Value.GetRevision(), Data: routingtable.Encode(next), Expiry: o.until},
+		func(now int64, vote ballots.Outcome) { c.voteEnded(now, o, vote) })
+}
+
+// voteEnded ends an order that was put to the vote. Where another revision came
+// first it is judged once more: that may be the order itself, from another
+// process, or a move, which leaves the operators' revision as it is.
+func (c *Core) voteEnded(now int64, o *order, vote ballots.Outcome) {
+	if vote.Verdict != ballots.Agreed {
+		c.judge(now, o, vote)
+		return
+	}
+	t, err := routingtable.Decode(vote.Value.GetData())
+	if err != nil {
+		c.ended(now, o, unavailable)
+		return
+	}
+	c.ended(now, o, ports.ChangeResult{Outcome: ports.Agreed, Revision: t.Revision})
+}
+
+// ended tells all that wait for an order what became of it.
+func (c *Core) ended(now int64, o *order, result ports.ChangeResult) {
+	delete(c.orders, o.change.Name)
+	for _, id := range o.callers {
+		c.answer(now, id, Changed{ID: id, Result: result})
+	}
+}
+
+// fetch reads the newest table through a majority.
+func (c *Core) fetch(now int64, e Fetch) {
+	if !c.admit(now, e.ID, answerWithin, Fetched{ID: e.ID}) {
+		return
+	}
+	c.read(now, voterview.TableKey, func(now int64, read ballots.Outcome) {
+		t, err := routingtable.Decode(read.Value.GetData())
+		ok := read.Verdict == ballots.Agreed && err == nil && t.Revision > 0
+		c.answer(now, e.ID, Fetched{ID: e.ID, Table: t, OK: ok})
 	})
 }
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -94,6 +94,10 @@
 		p.end(e.ID, Changed{ID: e.ID, Result: ports.ChangeResult{Outcome: ports.Unavailable}})
 	case Fetch:
 		p.end(e.ID, Fetched{ID: e.ID})
+	case Move:
+		p.end(e.ID, Moved{ID: e.ID, Result: moveUnavailable})
+	case CancelMove:
+		p.end(e.ID, Moved{ID: e.ID, Result: moveUnavailable})
 	case ports.Boot:
 		p.boot = e
 	}
@@ -206,7 +210,8 @@
 			p.end(e.id, p.stateNow(e.whole))
 			evs[i] = nil
 		case movesAsked:
-			p.end(e.id, p.core.Moves(p.nowUs()))
+			now := p.nowUs()
+			p.end(e.id, movesKnown{p.core.Moves(now), p.core.inContact(now)})
 			evs[i] = nil
 		}
 	}
