One number, one order: the routing table names the orders that made it

Cause, as found: an order that was sent again was known by the register's names of its newest sixteen revisions. Moves write the same register, so sixteen revisions later an order that had been acknowledged was refused with 412. A vote that was lost was told as 412 whatever had won it: a move, which leaves the operators' revision as it was, got an order refused on a base still in force. The same order, sent again to the process that was deciding it, replaced the first call's way back or was told that nobody could agree to it.

Not found: two orders that were both acknowledged under one number. On the code before this change TestOneNumberOneOrder passes; with voters that change it is to be run again.

Change: the table's value names the newest 32 orders, by revision and hash of their exact content, and the revision of the last one left out (routingtable/taken.go). An order named there is acknowledged, one that may have been left out has no clear answer, and only what surely was never taken is refused. A lost vote is judged again by the table that won. The same order joins the one that is being decided.

Before: TestSameOrderSentAgain red for all thirteen causes after the register's names were used up; TestTwinsJoin, TestAMoveIsNoOtherOrder and TestStormWithLostAnswers red. Faults put in by hand, each red: not joined; a lost vote refused; the register's names alone; the number alone; a call that ends nowhere refused; the base not held; what was left out not remembered; moves drop the names.

A test waits for more: fleetstate's TestProcessesTellTheirState waited until all vote and then sent one order, which a process without a lease refuses now; it waits until all have one. What it checks is as it was.

--- a/coordinator/callers_test.go
+++ b/coordinator/callers_test.go
@@ -183,6 +183,9 @@
 
 // judgeAlone is what a member would say of an order that asked nobody.
 func judgeAlone(t ports.RoutingTable, o ports.TableChange) ports.ChangeResult {
+	if routingtable.WasTaken(t, o) == routingtable.Taken {
+		return ports.ChangeResult{Outcome: ports.Agreed, Revision: t.Revision}
+	}
 	if t.Revision != o.Base {
 		return ports.ChangeResult{Outcome: ports.Stale, Revision: t.Revision}
 	}
--- a/coordinator/operators.go
+++ b/coordinator/operators.go
@@ -18,7 +18,7 @@
 }
 
 // change takes an operator's order: it reads the newest table through a majority,
-// checks the order against it and puts it to the vote.
+// checks the order against it and puts it to the vote (design 18).
 func (c *Core) change(now int64, e Change) {
 	within := answerWithin + answerPerRoute*int64(len(e.Change.Routes))
 	if !c.admit(now, e.ID, within, Changed{ID: e.ID, Result: unavailable}) {
@@ -42,8 +42,16 @@
 		c.ended(now, o, unavailable)
 		return
 	}
+	taken := routingtable.WasTaken(current, o.change)
 	if slices.Contains(newest.Value.GetChanges(), o.change.Name) {
-		c.ended(now, o, ports.ChangeResult{Outcome: ports.Agreed, Revision: current.Revision}) // sent again
+		taken = routingtable.Taken // by a version of the program that kept no list of orders
+	}
+	switch taken {
+	case routingtable.Taken:
+		c.ended(now, o, ports.ChangeResult{Outcome: ports.Agreed, Revision: current.Revision})
+		return
+	case routingtable.Forgotten:
+		c.ended(now, o, unavailable)
 		return
 	}
 	if current.Revision != o.change.Base {
--- a/fleetstate/fleet_test.go
+++ b/fleetstate/fleet_test.go
@@ -132,8 +132,8 @@
 		t.Fatalf("never seen: %s; %s", what, last)
 		return nil
 	}
-	seen("all vote, the node has a lease", func(ss []fleetstate.State) bool {
-		return ss[0].Ready && ss[1].Ready && ss[2].Ready && ss[3].LeaseLeftUs > 0
+	seen("all vote and have a lease", func(ss []fleetstate.State) bool {
+		return ss[0].Ready && ss[1].Ready && ss[2].Ready && !slices.ContainsFunc(ss, func(s fleetstate.State) bool { return s.LeaseLeftUs <= 0 })
 	})
 	announce := func(id string, leaving bool, call uint64) {
 		i := ports.Instance{ID: id, Group: "stock", Address: "127.0.0.9:80", Zone: "zone-1", Capacity: 4, Primary: id == "d1", Leaving: leaving, Call: call}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -203,6 +203,16 @@
 	Limits   Limits
 	// Placements are in order of their groups; they change by moves only.
 	Placements []Placement
+	// Taken are the newest operators' orders that were taken, oldest first.
+	Taken []TakenOrder
+	// Forgotten is the newest revision whose order is not among them any more.
+	Forgotten uint64
+}
+
+// TakenOrder is an operator's order that was taken.
+type TakenOrder struct {
+	Revision uint64
+	Digest   string // of its exact content
 }
 
 // Placement says at which site a group's primary is to serve.
--- a/routingtable/routingtable.go
+++ b/routingtable/routingtable.go
@@ -19,7 +19,7 @@
 
 // Encode writes a table; equal tables give equal bytes.
 func Encode(t ports.RoutingTable) []byte {
-	m := &schema.RoutingTable{Revision: t.Revision, IdleUs: t.Limits.IdleUs, TxIdleUs: t.Limits.TxIdleUs, Limits: t.Limits.Source}
+	m := &schema.RoutingTable{Revision: t.Revision, IdleUs: t.Limits.IdleUs, TxIdleUs: t.Limits.TxIdleUs, Limits: t.Limits.Source, Forgotten: t.Forgotten}
 	for _, r := range t.Routes {
 		m.Routes = append(m.Routes, &schema.RouteItem{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: uint32(r.Kind), Group: r.Group,
 			ExpiryUs: r.ExpiryUs, AimUs: r.AimUs, StaleUs: r.StaleUs, Rank: int32(r.Rank), Tries: int32(r.Tries), Source: r.Source})
@@ -30,6 +30,9 @@
 	for _, p := range t.Placements {
 		m.Placements = append(m.Placements, &schema.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
 	}
+	for _, o := range t.Taken {
+		m.Taken = append(m.Taken, &schema.TakenOrder{Revision: o.Revision, Digest: []byte(o.Digest)})
+	}
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
 		panic(err)
@@ -83,7 +86,7 @@
 	if err := proto.Unmarshal(b, m); err != nil {
 		return ports.RoutingTable{}, err
 	}
-	t := ports.RoutingTable{Revision: m.Revision, Limits: ports.Limits{IdleUs: m.IdleUs, TxIdleUs: m.TxIdleUs, Source: m.Limits}}
+	t := ports.RoutingTable{Revision: m.Revision, Limits: ports.Limits{IdleUs: m.IdleUs, TxIdleUs: m.TxIdleUs, Source: m.Limits}, Forgotten: m.Forgotten}
 	for _, r := range m.Routes {
 		t.Routes = append(t.Routes, ports.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: ports.ClassKind(r.Kind), Group: r.Group,
 			ExpiryUs: r.ExpiryUs, AimUs: r.AimUs, StaleUs: r.StaleUs, Rank: int(r.Rank), Tries: int(r.Tries), Source: r.Source})
@@ -94,6 +97,9 @@
 	for _, p := range m.Placements {
 		t.Placements = append(t.Placements, ports.Placement{Group: p.Group, Site: p.Site, Table: p.Table, From: p.From, Back: p.Back})
 	}
+	for _, o := range m.Taken {
+		t.Taken = append(t.Taken, ports.TakenOrder{Revision: o.Revision, Digest: string(o.Digest)})
+	}
 	return t, nil
 }
 
@@ -127,6 +133,7 @@
 	if c.Limits != nil {
 		t.Limits = *c.Limits
 	}
+	t.Taken, t.Forgotten = remember(old, c)
 	if c.Revision <= old.Revision {
 		ps = append(ps, fmt.Sprintf("revision %d is not above %d, which is in force", c.Revision, old.Revision))
 	}
