--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -99,9 +99,9 @@
 	case Fetch:
 		p.end(e.ID, Fetched{ID: e.ID})
 	case Move:
-		p.end(e.ID, Moved{ID: e.ID, Result: MoveResult{Outcome: ports.Unavailable}})
+		p.end(e.ID, Moved{ID: e.ID, Result: moveUnavailable})
 	case CancelMove:
-		p.end(e.ID, Moved{ID: e.ID, Result: MoveResult{Outcome: ports.Unavailable}})
+		p.end(e.ID, Moved{ID: e.ID, Result: moveUnavailable})
 	case movesAsked:
 		p.end(e.id, nil)
 	case stateAsked:
@@ -242,7 +242,8 @@
 			p.end(e.id, p.stateNow(e.whole))
 			evs[i] = nil
 		case movesAsked:
-			p.end(e.id, p.core.Moves(p.nowUs()))
+			now := p.nowUs()
+			p.end(e.id, movesKnown{p.core.Moves(now), p.core.inContact(now)})
 			evs[i] = nil
 		}
 	}
