--- a/paxos/membership.go
+++ b/paxos/membership.go
@@ -109,7 +109,7 @@
 // voter whose address is used by another disk is replaced by that one; a lost
 // voter is replaced if another process may take its place; voters are added up to
 // the target, and never taken away otherwise. One voter is replaced at a time, so
-// that a membership never rests on more than one newcomer that holds nothing yet.
+// that no replacement rests on more than one newcomer that holds nothing yet.
 func Plan(current Membership, s Survey) (Membership, bool) {
 	next := maps.Clone(current.Voters)
 	spare := map[string]Candidate{}
--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -28,13 +28,15 @@
 
 // Change asks for the revision after Base to hold Data. Name must be unique to
 // the change: the same name is never put in force twice. A Change with Read
-// set only asks for the newest value.
+// set only asks for the newest value; with Settle set too, a ballot has that value
+// accepted anew, also by a voter that holds another.
 type Change struct {
 	Name     string
 	Key      string
 	Base     uint64
 	Data     []byte
 	Read     bool
+	Settle   bool
 	Deadline int64
 }
 
@@ -173,7 +175,7 @@
 	}
 	c := p.queue[k][0]
 	p.queue[k] = p.queue[k][1:]
-	a := &attempt{ch: c, look: c.Read}
+	a := &attempt{ch: c, look: c.Read && !c.Settle}
 	p.busy[k] = a
 	p.begin(fx, now, a)
 }
@@ -215,7 +217,7 @@
 	}
 	cur, same := p.newest(a.promises)
 	a.value, a.mine = p.decide(a, cur.Value)
-	if !a.mine && same {
+	if !a.mine && same && !a.ch.Settle {
 		// A majority accepted one ballot: its value is chosen already.
 		p.finish(fx, now, a)
 		return
--- a/paxos/reconfigurer.go
+++ b/paxos/reconfigurer.go
@@ -10,7 +10,8 @@
 
 const (
 	// sealedWait is how long an acceptor that accepted a successor waits to hear
-	// that it was chosen before it finds out.
+	// that it was chosen before it settles which membership is the newest: either the
+	// successor is chosen, or a later ballot takes it back and the voter votes again.
 	sealedWait = 150_000
 	// turnWait is how long each voter leaves a change of the membership to those
 	// that rank before it.
@@ -54,7 +55,7 @@
 			return Change{}, false
 		}
 		r.sealed = now
-		return r.change(now, Change{Read: true}), true
+		return r.change(now, Change{Read: true, Settle: true}), true
 	}
 	r.sealed = 0
 	if !a.Votes() {
