Large states move once over slow ways; spares ask seldom; a paced look is answered all the same

Cause: with pacing a look whose answer was large went unanswered, and with it the lease; the states that voters hand over at two changes in quick succession were paced as one, so nobody voted for 8 s; a value accepted before was left out of an accept also for those that had said they do not hold it, which cost rounds of 400 ms. Change: a look is always answered, without the large data if as much is on its way; states are paced by membership; data is left out for voters that hold it only; a newcomer leaves settling to the others; spares ask each 0.7 s. The test's operators ask again when refused, since a process without a lease refuses at once.

--- a/coordinator/contact_test.go
+++ b/coordinator/contact_test.go
@@ -414,7 +414,9 @@
 		d.n.Take = func(to string, e *schema.Envelope) {
 			take(to, e)
 			if r := e.GetLookReturn(); to == d.node.at && e.From == d.off && d.cutAt > 0 && r.GetNumber() > 0 {
-				d.node.view.Step(d.w.Now, d.others[0], &schema.LookReturn{Number: r.Number, Life: 5, Seq: 0, Formed: true, Standings: d.ms[d.off].core.voter.Standings()})
+				m := d.ms[d.off].core.voter.Membership()
+				d.node.view.Step(d.w.Now, d.others[0], &schema.LookReturn{Number: r.Number, Life: 5, Seq: 0, Active: m.Number,
+					Disk: m.Voters[d.others[0]], Membership: m.Message()})
 			}
 		}
 		d.play(true, true, false)
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -216,9 +216,20 @@
 	return ports.TableChange{Base: h.acked, Revision: h.acked + 1, Routes: []ports.Route{historyRoute(int(h.acked)%h.routes, h.acked)}}
 }
 
-// fetch asks a process for the table; what it hands out is no older than what was
-// acknowledged when it was asked.
+// fetch asks a process for the newest table until it hands one out, as operators do
+// that are told to come back, within a time.
 func (h *history) fetch(a string, wait int64) bool {
+	for until := h.w.Now + wait; h.w.Now < until; h.pass(100_000) {
+		if h.fetchOnce(a, until-h.w.Now) {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchOnce asks a process for the table; what it hands out is no older than what was
+// acknowledged when it was asked.
+func (h *history) fetchOnce(a string, wait int64) bool {
 	h.call++
 	id, from, acked := h.call, len(h.ms[a].does), h.acked
 	h.step(a, Fetch{ID: id})
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -68,17 +68,26 @@
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
 	}
-	if e := c.news(from, f, m.Number); c.pacing.may(now, heavyTo{from, heavyNews}, e, c.seq) {
-		f.returned = now
-		c.send(step.Send{To: from, Env: e})
-		f.seq = c.seq // what does not arrive shows in the next look
+	f.returned = now
+	c.send(step.Send{To: from, Env: c.pacedNews(now, from, f, m.Number)})
+	f.seq = c.seq // what does not arrive shows in the next look
+}
+
+// pacedNews is what changed since a follower's last look, without the large data if
+// as much is still on its way. It names every revision in any case: a lease rests on
+// that.
+func (c *Core) pacedNews(now int64, to string, f *follower, number uint64) *schema.Envelope {
+	e := c.news(f, number, f.bodies)
+	if c.pacing.may(now, heavyTo{to: to, kind: heavyNews}, e, c.seq) {
+		return e
 	}
+	return c.news(f, number, false)
 }
 
 // news is what changed since a follower's last look.
-func (c *Core) news(to string, f *follower, number uint64) *schema.Envelope {
+func (c *Core) news(f *follower, number uint64, bodies bool) *schema.Envelope {
 	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Active: c.active,
-		Nodes: uint32(c.nodes()), Bodies: f.bodies}
+		Nodes: uint32(c.nodes()), Bodies: bodies}
 	if f.seq < c.membershipSeq || number > 0 && f.seq == 0 {
 		// Those who have heard it keep it.
 		r.Zone, r.Disk = c.boot.Zone, c.voter.Life()
@@ -98,7 +107,7 @@
 				// A revision that was told, and is agreed anew under another membership, keeps
 				// its data.
 				told := k == voterview.TableKey && f.seq > 0 && c.revisions[k].revision == d.Value.Revision && c.revisions[k].seq <= f.seq
-				if !told && (f.bodies || k != voterview.TableKey) {
+				if !told && (bodies || k != voterview.TableKey) {
 					w.Value.Data = d.Value.Data
 				}
 				r.Cells = append(r.Cells, w)
@@ -113,10 +122,8 @@
 	for _, a := range slices.Sorted(maps.Keys(c.follow)) {
 		f := c.follow[a]
 		if now-f.at < followFor && f.seq < c.seq {
-			if e := c.news(a, f, 0); c.pacing.may(now, heavyTo{a, heavyNews}, e, c.seq) {
-				c.send(step.Send{To: a, Env: e})
-				f.seq = c.seq
-			}
+			c.send(step.Send{To: a, Env: c.pacedNews(now, a, f, 0)})
+			f.seq = c.seq
 		}
 	}
 }
--- a/coordinator/pacing.go
+++ b/coordinator/pacing.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+
 	"google.golang.org/protobuf/proto"
 
 	"stoneford/schema"
@@ -31,6 +33,8 @@
 type heavyTo struct {
 	to   string
 	kind heavyKind
+	// membership is that for which a state is handed over: each needs one of its own.
+	membership uint64
 }
 
 // heavySent is the newest heavy envelope of a kind to a process.
@@ -51,13 +55,14 @@
 	if now < p[k].until {
 		return false
 	}
+	maps.DeleteFunc(p, func(_ heavyTo, sent heavySent) bool { return now >= sent.until })
 	p[k] = heavySent{until: now + n*1_000_000/heavyPerS, seq: seq}
 	return true
 }
 
 // came notes that a process has the news up to a place.
 func (p pacing) came(to string, seq uint64) {
-	k := heavyTo{to, heavyNews}
+	k := heavyTo{to: to, kind: heavyNews}
 	if h, ok := p[k]; ok && seq >= h.seq {
 		delete(p, k)
 	}
@@ -65,18 +70,16 @@
 
 // forget notes that a process began anew: what was on its way is lost.
 func (p pacing) forget(to string) {
-	for _, k := range []heavyKind{heavyNews, heavyState, heavyPromise} {
-		delete(p, heavyTo{to, k})
-	}
+	maps.DeleteFunc(p, func(k heavyTo, _ heavySent) bool { return k.to == to })
 }
 
 // mayAnswer paces the answers of a voter that bring what it holds.
 func (p pacing) mayAnswer(now int64, s step.Send) bool {
 	switch {
 	case s.Env.GetStateResponse() != nil:
-		return p.may(now, heavyTo{s.To, heavyState}, s.Env, 0)
+		return p.may(now, heavyTo{to: s.To, kind: heavyState, membership: s.Env.GetStateResponse().Membership}, s.Env, 0)
 	case s.Env.GetPromise() != nil:
-		return p.may(now, heavyTo{s.To, heavyPromise}, s.Env, 0)
+		return p.may(now, heavyTo{to: s.To, kind: heavyPromise}, s.Env, 0)
 	}
 	return true
 }
--- a/coordinator/voting.go
+++ b/coordinator/voting.go
@@ -7,6 +7,10 @@
 	"stoneford/step"
 )
 
+// newcomerWait is how long a voter that is new leaves it to the others to settle what
+// was accepted before.
+const newcomerWait = 3_000_000
+
 // held is what a voter's step asks for, until its entries are on disk.
 type held struct {
 	mark   uint64
@@ -116,6 +120,9 @@
 	if !c.votes() || now < c.nextCatch {
 		return
 	}
+	if c.voter.Newcomer() && now-c.activated < newcomerWait {
+		return // the others settle what was accepted before it came
+	}
 	c.nextCatch = now + catchUpEvery/2
 	for _, k := range c.voter.Keys() {
 		switch {
--- a/paxos/acceptor.go
+++ b/paxos/acceptor.go
@@ -24,6 +24,12 @@
 // requests, in microseconds.
 const requestEvery = 200_000
 
+// A spare, whose requests to vote nobody answers for some time, asks less often.
+const (
+	quickRequests     = 15
+	spareRequestEvery = 700_000
+)
+
 // Effects is what a step asks of its caller.
 type Effects struct {
 	Log      []*schema.VoterLog // to sync first
@@ -61,6 +67,7 @@
 	candidates map[string]Candidate
 	nextSend   int64
 	asked      int  // requests for state made
+	waited     int  // requests to vote made
 	logged     bool // the identity and the founders are on disk
 	leaving    bool
 }
@@ -198,6 +205,9 @@
 	case a.membership.Has(a.self, a.life):
 		a.requestState(&fx)
 	case a.membership.Known():
+		if a.waited++; a.waited > quickRequests {
+			a.nextSend = now + spareRequestEvery
+		}
 		if !a.leaving {
 			a.requestVote(&fx)
 		}
@@ -316,7 +326,7 @@
 	if m.Number <= a.membership.Number {
 		return
 	}
-	a.membership, a.nextSend, a.asked = m, 0, 0
+	a.membership, a.nextSend, a.asked, a.waited = m, 0, 0, 0
 	a.states = map[string]*schema.StateResponse{}
 	fx.Log = append(fx.Log, &schema.VoterLog{Life: a.life, Membership: m.Message()})
 	a.logged = true
--- a/paxos/exhaustive_test.go
+++ b/paxos/exhaustive_test.go
@@ -334,7 +334,11 @@
 		}
 		for i := range modelNames {
 			if number > 1 {
-				step(fmt.Sprint("learns ", number), i, &schema.Envelope{From: "z", Body: &schema.Envelope_StateRequest{StateRequest: &schema.StateRequest{Membership: current.Message()}}})
+				// As a voter under the membership before asks, who is answered by all that hold
+				// something; who copies the answer is another step.
+				asker := slices.Sorted(maps.Keys(current.Previous))[0]
+				step(fmt.Sprint("learns ", number), i, &schema.Envelope{From: asker, Body: &schema.Envelope_StateRequest{
+					StateRequest: &schema.StateRequest{Membership: current.Message(), Life: current.Previous[asker]}}})
 			}
 		}
 	}
--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -235,12 +235,22 @@
 	if a.mine {
 		a.asked = true
 	}
-	accept := &schema.Accept{Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}
-	if !a.mine && a.tries == 0 && a.value != nil {
-		// Most voters hold it already; it may be large.
-		accept.Value, accept.Same = nil, copyBallot(cur.Accepted)
+	p.sendAccepts(fx, a, cur.Accepted)
+}
+
+// sendAccepts asks all voters to accept the attempt's value. A value that was
+// accepted before may be large: its data is left out for those that said that they
+// hold it, and at the first try for those that did not say.
+func (p *Proposer) sendAccepts(fx *ProposerEffects, a *attempt, held *schema.Ballot) {
+	for _, address := range p.membership.Addresses() {
+		accept := &schema.Accept{Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}
+		promise := a.promises[address]
+		holds := promise != nil && Same(promise.Accepted, held) || promise == nil && a.tries == 0
+		if !a.mine && a.value != nil && holds {
+			accept.Value, accept.Same = nil, copyBallot(held)
+		}
+		fx.Send = append(fx.Send, step.Send{To: address, Env: &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: accept}}})
 	}
-	p.toAll(fx, &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: accept}})
 }
 
 // counts reports whether a reply is of a voter under the membership that this
--- a/paxos/transfer.go
+++ b/paxos/transfer.go
@@ -10,7 +10,7 @@
 
 // requestsPerSource is how often a newcomer asks one process for its state before
 // it asks the next.
-const requestsPerSource = 8
+const requestsPerSource = 2
 
 // requestState asks for what was held under the membership before this
 // acceptor's, and of those that vote under it already. One that holds nothing of the
@@ -36,6 +36,10 @@
 	a.activate(fx)
 }
 
+// Newcomer reports whether this acceptor did not vote under the membership before
+// the newest.
+func (a *Acceptor) Newcomer() bool { return !a.held(a.self, a.life) }
+
 // held reports whether a disk voted under the membership before the newest.
 func (a *Acceptor) held(address string, life uint64) bool {
 	return holds(a.membership.Previous, address, life)
@@ -46,7 +50,7 @@
 	for _, address := range a.membership.Addresses() {
 		if address != a.self {
 			a.send(fx, address, &schema.Envelope{Body: &schema.Envelope_JoinRequest{JoinRequest: &schema.JoinRequest{
-				Life: a.life, Zone: a.place.Zone, Region: a.place.Region, Counts: a.place.Counts}}})
+				Life: a.life, Zone: a.place.Zone, Region: a.place.Region, Counts: a.place.Counts, Membership: a.membership.Number}}})
 		}
 	}
 }
@@ -57,7 +61,9 @@
 		return
 	}
 	a.candidates[from] = Candidate{Address: from, Life: m.Life, Zone: m.Zone, Region: m.Region, Counts: m.Counts, At: now}
-	a.notify(fx, from)
+	if m.Membership < a.membership.Number {
+		a.notify(fx, from)
+	}
 }
 
 // stateRequested hands out what this acceptor holds. The membership named is
