A group's duty has one agreed holder, under a lease and a fence

Cause: who carried a change of primary out was decided by who had been heard lately. A process that came back from behind a cut ranked first and joined in while another was in the middle of the change; all steps but the call to the platform are revisions, of which one wins.

Ruled out: two revisions under one number, the platform, an HTTP client that sends a call again by itself (two sources, 128 ms apart).

Change: the register names the holder, its run and a fence that rises with each (design 16). Commands to databases and calls to the platform need the agreed holder to be this run, a lease, a look returned after the newest revision, and the wait for the holder before; the end of the lease goes with each effect and is looked at again as it leaves. Claims are made at leisure when the holder is silent, leaves or lacks a lease; one that leaves hands over. A new holder may seal while it waits.

Tests changed: inputs of switchover's worlds name a duty instead of "acts"; TestOne has another process hold the duty, and asks for the same.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -155,6 +155,7 @@
 	due       int64
 	own       []*schema.Envelope
 	fx        Effects
+	lacked    bool   // this process lacked a lease once
 	mark      uint64 // of the newest entries handed out
 	held      []held
 	cells     map[string]*schema.Cell // what this voter accepted, as far as it is on disk
@@ -294,6 +295,7 @@
 	case Stop:
 		c.leaving = true
 		c.view.Want()
+		c.allDirty() // duties are handed over
 	case Synced:
 		c.synced(now, e.Mark)
 	case Unsynced:
--- a/coordinator/leadership.go
+++ b/coordinator/leadership.go
@@ -23,9 +23,10 @@
 	cleared uint64                    // newest sealing that no node that looked here goes against
 	told    uint64                    // newest cleared that the others were told
 	insts   map[string]ports.Instance // announced, and those that are gone
-	order   []string                  // control processes, first the one that carries changes out
+	order   []string                  // control processes, in the order in which they claim its duty
 	putting int64                     // when a change of its move was put to the vote, 0 for none
 	dirty   bool
+	rev     uint64 // newest revision of its leadership that was gone through here
 }
 
 // accepted notes when a sealing came here first: nodes that looked before may
@@ -95,23 +96,6 @@
 	return g
 }
 
-// owner is the control process that carries a group's changes out: the first, by
-// the group's hash, of those heard lately.
-func (c *Core) owner(now int64, n string) bool {
-	if now-c.began < ownerSilent {
-		return false // the others had no time to be heard
-	}
-	for _, o := range c.group(n).order {
-		if o == c.self {
-			return !c.leaving
-		}
-		if f := c.follow[o]; f != nil && now-f.at < ownerSilent && !f.leaving {
-			return false
-		}
-	}
-	return false
-}
-
 func (c *Core) groupsTick(now int64) {
 	if !c.formed {
 		return
@@ -154,14 +138,20 @@
 	if i < 0 {
 		return
 	}
-	in := switchover.Input{Group: n, Sync: c.table.Groups[i].Sync, State: l, Rev: v.Revision, Settled: !c.view.Doubt(k),
-		Acts: c.owner(now, n) && c.tableRev >= l.Table, Self: c.boot.Name}
-	if in.Acts {
+	in := switchover.Input{Group: n, Sync: c.table.Groups[i].Sync, State: l, Rev: v.Revision, Settled: !c.view.Doubt(k), Duty: c.duty(now, n, l)}
+	acts := g.decider.Acts(now, in)
+	if g.rev != v.Revision {
+		g.rev = v.Revision
+		if acts {
+			c.view.Want() // a majority is to be met after the change
+		}
+	}
+	if acts {
 		c.sum(now, n, k, g, l, &in)
 		c.wanted(n, &in)
 	}
 	fx := g.decider.Step(now, in)
-	if in.Acts {
+	if acts {
 		c.moveTick(now, n, g, in)
 	}
 	for _, e := range fx {
--- a/coordinator/moves_test.go
+++ b/coordinator/moves_test.go
@@ -218,7 +218,7 @@
 	w.run(4_000_000)
 	m := MoveState{}
 	for _, c := range w.cores {
-		if c.owner(w.now, "g") {
+		if c.acts(w.now, "g") {
 			m = c.Moves(w.now)[0]
 		}
 	}
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -22,6 +22,7 @@
 	leaving  bool
 	bodies   bool
 	counts   bool // a control process that counts
+	unable   bool // a control process that lacks a lease
 	sights   []*schema.Sighting
 	words    map[string]*schema.GroupWord
 	tables   map[uint64]tableSeen // of each run
@@ -60,6 +61,10 @@
 	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
 	c.lookedBy(now, from, f, m)
 	for _, w := range m.Groups {
+		if w.Group == leaseWord {
+			c.heardLease(f, w)
+			continue
+		}
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
 	}
@@ -163,5 +168,6 @@
 			r.Words = append(r.Words, &schema.GroupWord{Group: n, Revision: g.cleared, Quiet: true})
 		}
 	}
+	r.Words = c.sayLease(c.lastStep, r.Words)
 	return r
 }
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -241,8 +241,21 @@
 	}
 }
 
+// leaseLeft bounds a wait by a lease. It is asked right before what rests on the
+// lease leaves, which may be long after the step that decided it.
+func (p *Process) leaseLeft(until int64, wait time.Duration) time.Duration {
+	return min(wait, time.Duration(until-p.nowUs())*time.Microsecond)
+}
+
 func (p *Process) ask(d Ask) {
-	ctx, stop := context.WithTimeout(p.ctx, time.Duration(d.Ask.WaitUs)*time.Microsecond)
+	wait := time.Duration(d.Ask.WaitUs) * time.Microsecond
+	if d.Ask.Kind != ports.Status {
+		if wait = p.leaseLeft(d.Ask.Until, wait); wait <= 0 {
+			p.post(Said{Group: d.Group, Said: switchover.Said{ID: d.Ask.ID, Withdrawn: true}})
+			return
+		}
+	}
+	ctx, stop := context.WithTimeout(p.ctx, wait)
 	defer stop()
 	i := d.Ask.Instance
 	st, code, err := p.dbs.Do(ctx, i.Address, i.Group, i.ID, ports.Op{Own: true, St: ports.Statement{Kind: d.Ask.Kind}, Term: d.Ask.Term})
@@ -265,7 +278,12 @@
 }
 
 func (p *Process) promote(d Promote) {
-	ctx, stop := context.WithTimeout(p.ctx, promoteWait)
+	wait := p.leaseLeft(d.Promote.Until, promoteWait)
+	if wait <= 0 {
+		p.post(Promoted{Group: d.Group})
+		return
+	}
+	ctx, stop := context.WithTimeout(p.ctx, wait)
 	defer stop()
 	code, err := p.prov.Promote(ctx, d.Group, d.Promote.ID, d.Promote.Owner, d.Promote.Fence)
 	log.WithFields(log.Fields{"group": d.Group, "database": d.Promote.ID, "status": code}).Info("the platform was asked for a primary")
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -49,7 +49,7 @@
 	ls := []fleetstate.Leadership{}
 	for _, n := range slices.Sorted(maps.Keys(c.groups)) {
 		k := voterview.LeaderPrefix + n
-		s := fleetstate.Leadership{Group: n, Doubt: c.view.Doubt(k), Phase: "none", Acts: c.formed && c.owner(now, n)}
+		s := fleetstate.Leadership{Group: n, Doubt: c.view.Doubt(k), Phase: "none", Acts: c.acts(now, n)}
 		if v, ok := c.view.Agreed(k); ok {
 			l := voterview.Leadership(v)
 			s.Revision, s.Term, s.Primary, s.Address, s.Phase = v.Revision, l.Term, l.Primary, l.Address, fleetstate.PhaseName(ports.Phase(l.Phase))
--- a/fleetsimulation/controls.go
+++ b/fleetsimulation/controls.go
@@ -252,6 +252,14 @@
 	ip := hostOf(i.Address)
 	gen := c.gen
 	ended := false
+	wait := d.Ask.WaitUs
+	if d.Ask.Kind != ports.Status {
+		if wait = min(wait, d.Ask.Until-c.now()); wait <= 0 {
+			c.post("asks", coordinator.Said{Group: d.Group, Said: switchover.Said{ID: d.Ask.ID, Withdrawn: true}})
+			return
+		}
+		f.duties.commanded(c, d)
+	}
 	end := func(s switchover.Said) {
 		if ended || !c.up || c.gen != gen {
 			return
@@ -263,7 +271,7 @@
 		}
 		c.post("asks", coordinator.Said{Group: d.Group, Said: s})
 	}
-	f.After(int64(float64(d.Ask.WaitUs)/c.rate), func() { end(switchover.Said{Err: "no answer in time"}) })
+	f.After(int64(float64(wait)/c.rate), func() { end(switchover.Said{Err: "no answer in time"}) })
 	back := func(s switchover.Said) { f.net.carry(ip, c.ip, func() { end(s) }) }
 	op := ports.Op{Own: true, St: ports.Statement{Kind: d.Ask.Kind}, Term: d.Ask.Term}
 	run := func(db *DB) {
@@ -329,9 +337,23 @@
 		ended = true
 		c.post("platform", coordinator.Promoted{Group: d.Group, OK: ok, Gone: gone})
 	}
-	f.After(1_500_000, func() { end(false, false) })
+	wait := min(1_500_000, d.Promote.Until-c.now())
+	if wait <= 0 {
+		end(false, false)
+		return
+	}
+	f.After(int64(float64(wait)/c.rate), func() {
+		if !c.frozen {
+			end(false, false)
+		}
+	})
+	until := f.Now + int64(float64(wait)/c.rate)
 	f.net.carry(c.ip, p.ip, func() {
+		if f.Now > until && !(c.gen == gen && c.up && c.frozen) {
+			return // its connection was reset: see platform.Provider
+		}
 		p.calls++
+		f.duties.called(c, d, gen, until)
 		if f.Chance(p.bounce) {
 			f.net.carry(p.ip, c.ip, func() { end(false, false) })
 			return
--- /dev/null
+++ b/fleetsimulation/duties_test.go
@@ -0,0 +1,132 @@
+package fleetsimulation
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"stoneford/ports"
+	"stoneford/schema"
+	"stoneford/voterview"
+)
+
+const (
+	replacedWithin = 9_000_000 // a primary that is lost together with the holder of its duty
+	holderSeeds    = 24
+)
+
+// leadership is the newest that any control process knows as agreed.
+func (f *Fleet) leadership(g *group) (*schema.Leadership, uint64) {
+	best := voterview.Chosen{}
+	for _, c := range f.controls {
+		if v, ok := c.core.View().Agreed(voterview.LeaderPrefix + g.name); ok && c.up && v.Revision > best.Revision {
+			best = v
+		}
+	}
+	return voterview.Leadership(best), best.Revision
+}
+
+func (f *Fleet) holder(g *group) *Control {
+	l, _ := f.leadership(g)
+	i := slices.IndexFunc(f.controls, func(c *Control) bool { return c.name == l.Holder })
+	return f.controls[max(i, 0)]
+}
+
+// TestPrimaryAndHolderLost: a primary that is lost at the same moment as the
+// holder of its group's duty is replaced in time.
+func TestPrimaryAndHolderLost(t *testing.T) {
+	var mu sync.Mutex
+	worst, sum := int64(0), int64(0)
+	const n = 24
+	each(n, *from, func(seed uint64) {
+		f := NewFleet(plan(seed))
+		f.Run(4_000_000)
+		f.startCallers()
+		f.Run(f.Now + 1_000_000)
+		g := f.groups[f.R.IntN(len(f.groups))]
+		d, c, at := g.primary, f.holder(g), f.Now
+		switch seed % 3 {
+		case 0:
+			f.killControl(c, true)
+		case 1:
+			c.freeze()
+		default:
+			f.isolate(c.ip, f.hosts(), int(seed/3)%3, 12_000_000)
+		}
+		d.crash(seed%2 == 0)
+		for f.Now < at+20_000_000 {
+			f.Run(f.Now + 20_000)
+			if l, _ := f.leadership(g); l.Primary != d.id && ports.Phase(l.Phase) == ports.PhaseOpen {
+				break
+			}
+		}
+		took := f.Now - at
+		f.Run(f.Now + 1_000_000)
+		f.Finish()
+		mu.Lock()
+		defer mu.Unlock()
+		told(t, f)
+		worst, sum = max(worst, took), sum+took
+		if took > replacedWithin {
+			t.Errorf("seed %d: replaced after %d ms", seed, took/1000)
+		}
+	})
+	t.Logf("%d seeds: replaced after %d ms on average, %d at the most", n, sum/n/1000, worst/1000)
+}
+
+// TestHolderTroubled: the holder is frozen, cut one way or both, slowed, killed
+// or stopped at each phase of a change of primary, and the next one too.
+func TestHolderTroubled(t *testing.T) {
+	var mu sync.Mutex
+	calls, commands, late, promotions := 0, 0, 0, 0
+	each(holderSeeds, *from, func(seed uint64) {
+		f := NewFleet(plan(seed))
+		f.Run(4_000_000)
+		f.startCallers()
+		f.Run(f.Now + 1_000_000)
+		for round := range uint64(3) {
+			g := f.groups[f.R.IntN(len(f.groups))]
+			d := g.primary
+			if f.Chance(0.4) {
+				f.release(g, []*DB{d})
+			} else {
+				d.crash(f.Chance(0.5))
+				f.later(2_000_000, 6_000_000, func() { f.backDB(d) })
+			}
+			phase := ports.Phase((seed + round) % 4)
+			for until := f.Now + 4_000_000; f.Now < until; {
+				f.Run(f.Now + 2_000)
+				if l, _ := f.leadership(g); ports.Phase(l.Phase) == phase && (phase != ports.PhaseOpen || l.Primary != d.id) {
+					break
+				}
+			}
+			f.Run(f.Now + f.Between(0, 60_000))
+			c := f.holder(g)
+			f.say("%s, which holds the duty of %s, is troubled in phase %d", c.name, g.name, phase)
+			us := f.Between(500_000, 4_000_000)
+			switch (seed + 2*round) % 6 {
+			case 0:
+				c.freeze()
+				f.After(us, c.thaw)
+			case 1:
+				f.killControl(c, f.Chance(0.5))
+				f.After(us, func() { f.backControl(c) })
+			case 2, 3:
+				f.isolate(c.ip, f.hosts(), f.R.IntN(3), us)
+			case 4:
+				c.slowUs, c.syncUs = f.Between(0, 8_000), f.Between(0, 300_000)
+				f.After(us, func() { c.slowUs, c.syncUs = 0, 0 })
+			default:
+				f.stopControl(c)
+				f.After(700_000, func() { f.backControl(c) })
+			}
+			f.Run(f.Now + 6_000_000)
+		}
+		f.Finish()
+		mu.Lock()
+		defer mu.Unlock()
+		told(t, f)
+		calls, commands, late, promotions = calls+f.duties.Calls, commands+f.duties.Commands, late+f.duties.Late, promotions+f.truth.Promotions
+	})
+	t.Logf("%d seeds: %d calls to the platform, %d of them late from a frozen process, %d commands, %d promotions", holderSeeds, calls, late, commands, promotions)
+}
--- a/fleetsimulation/fleet.go
+++ b/fleetsimulation/fleet.go
@@ -67,6 +67,7 @@
 	truth      *Truth
 	operators  operators
 	moves      moves
+	duties     duties
 	provider   provider
 	controls   []*Control
 	nodes      []*Node
@@ -116,6 +117,7 @@
 	f.truth = newTruth(f)
 	f.operators = operators{f: f, tables: map[uint64]*version{}}
 	f.moves = newMoves(f)
+	f.duties = duties{f: f, of: map[string]*dutySeen{}}
 	f.promotionReleases, f.badBeginBreaks = f.Chance(0.5), !p.BeginningRests
 	f.provider = provider{ip: providerHost, takeUs: f.Between(250_000, 700_000), slowUs: 5_000}
 	f.net.zones[providerHost], f.net.zones["operators"] = zoneNames[0], zoneNames[0]
--- a/switchover/move_test.go
+++ b/switchover/move_test.go
@@ -24,8 +24,8 @@
 
 func newTrial(t *testing.T) *trial {
 	x := &trial{t: t, g: New(), now: 10_000_000, deaf: map[string]bool{}, status: map[string]ports.DatabaseStatus{}}
-	x.in = Input{Group: "g", Sync: 1, Rev: 3, Settled: true, Acts: true, Self: "control-1", Complete: true, Nodes: 2, Quiet: true, Told: true, Cleared: true,
-		State: &schema.Leadership{Term: 1, Primary: "d1", Address: "d1:1", Holder: "control-1", Fence: 1}, Heard: map[string]int64{},
+	x.in = Input{Group: "g", Sync: 1, Rev: 3, Settled: true, Duty: sureDuty(), Complete: true, Nodes: 2, Quiet: true, Told: true, Cleared: true,
+		State: &schema.Leadership{Term: 1, Primary: "d1", Address: "d1:1", Holder: "control-1", HolderRun: 1, Fence: 1}, Heard: map[string]int64{},
 		Move: Move{At: func(z string) bool { return z == "b" }, Site: "b", Table: 5, Begin: true}}
 	for i, id := range []string{"d1", "d2", "d3"} {
 		x.in.Instances = append(x.in.Instances, ports.Instance{ID: id, Group: "g", Address: id + ":1", Zone: string(rune('a' + i)), Primary: i == 0})
--- a/switchover/rules_test.go
+++ b/switchover/rules_test.go
@@ -23,11 +23,16 @@
 	up   []Promote
 }
 
+// sureDuty is the duty of a holder that meets a majority all the time.
+func sureDuty() Duty {
+	return Duty{Self: "control-1", Run: 1, Eligible: true, Successor: true, Lease: Lease{From: 1 << 60, Until: 1 << 61}}
+}
+
 func pos(n int64) ports.Position { return ports.Position{Term: 1, Number: n} }
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, g: New(), now: 1_000_000, st: map[string]*ports.DatabaseStatus{}, dark: map[string]bool{}}
-	w.in = Input{Group: "g", Sync: 1, Acts: true, Settled: true, Self: "control-1", Nodes: 3, Cleared: true, Told: true,
+	w.in = Input{Group: "g", Sync: 1, Settled: true, Duty: sureDuty(), Nodes: 3, Cleared: true, Told: true,
 		Heard: map[string]int64{}, Sights: map[string]Sight{}, Gone: map[string]bool{}}
 	for _, id := range []string{"a", "b", "c"} {
 		w.in.Instances = append(w.in.Instances, ports.Instance{ID: id, Group: "g", Address: id, Primary: id == "a"})
@@ -295,7 +300,7 @@
 // TestOne: who does not carry the changes out asks nothing and changes nothing.
 func TestOne(t *testing.T) {
 	w := newWorld(t)
-	w.in.Acts = false
+	w.in.State.Holder, w.in.Duty.HolderPresent = "control-2", true
 	w.asks = nil
 	w.st["a"] = nil
 	w.fails("a", true)
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -2,7 +2,8 @@
 // held but not sealed: it founds the group, replaces a primary that is lost or
 // that leaves, and tidies up behind (design 14.6, 14.7). Group is a
 // deterministic core; every step that counts is a revision of the group's
-// register, so two processes that act at once do no harm.
+// register, and only the agreed holder of the group's duty commands a database or
+// calls the platform (duty.go, design 16).
 package switchover
 
 import (
@@ -33,8 +34,7 @@
 	State      *schema.Leadership
 	Rev        uint64
 	Settled    bool // State is the newest that any voter holds
-	Acts       bool // this process carries the group's changes out
-	Self       string
+	Duty       Duty
 	Instances  []ports.Instance // of this group, none that is gone
 	Gone       map[string]bool  // those that said or are taken to be gone
 	Complete   bool             // whoever is neither here nor gone is gone too
@@ -68,12 +68,14 @@
 // Effects.
 type (
 	// Ask puts a question to a database; Kind is Status, Hold, Resume or StepDown.
+	// A command is not to leave, nor to be under way, at or after Until.
 	Ask struct {
 		ID       uint64
 		Instance ports.Instance
 		Kind     ports.Kind
 		Term     uint64
 		WaitUs   int64
+		Until    int64
 	}
 	// Put asks for a new revision of the group's register.
 	Put struct {
@@ -85,11 +87,13 @@
 		Base uint64
 		IDs  []string
 	}
-	// Promote asks the platform to have a database lead.
+	// Promote asks the platform to have a database lead. The call is not to leave,
+	// nor to be under way, at or after Until.
 	Promote struct {
 		ID    string
 		Owner string
 		Fence uint64
+		Until int64
 	}
 	// Say is for the log.
 	Say struct {
@@ -100,10 +104,11 @@
 
 // Said ends an Ask.
 type Said struct {
-	ID       uint64
-	Err      string
-	NotThere bool // nobody listens at its address, or another database does
-	Status   ports.DatabaseStatus
+	ID        uint64
+	Err       string
+	NotThere  bool // nobody listens at its address, or another database does
+	Withdrawn bool // it never left: the lease had ended
+	Status    ports.DatabaseStatus
 }
 
 const (
@@ -123,6 +128,8 @@
 	tidyEvery     = 250_000
 	tidyFor       = 8_000_000
 	goneGrace     = 300_000
+	watchFor      = 30_000_000 // after a claim: followers are looked at for late commands
+	watchEvery    = 1_000_000
 	levelWait     = 1_000_000 // longest that a move waits for the database at its site before it seals; afterwards twice that
 	restFor       = 4_000_000 // between a change and a move: the platform may carry out an order of the change late
 	behindMost    = 400       // commits that a follower may lack as a planned switch begins
@@ -168,6 +175,7 @@
 	due     int64
 	level   bool   // a database at the site that the move goes to is level
 	uneven  string // why it is not
+	tenure  tenure
 	fx      []any
 }
 
@@ -191,6 +199,7 @@
 // Promoted ends a Promote: ok if the platform took it, gone if it says that the
 // database is not running.
 func (g *Group) Promoted(now int64, ok, gone bool) {
+	g.tenure.called(now, ok)
 	if gone {
 		g.asked, g.bounced = now, true
 		for _, s := range g.m {
@@ -212,7 +221,13 @@
 	if s.asking == e.ID {
 		s.asking = 0
 	}
+	if e.Withdrawn {
+		return
+	}
 	if e.Err != "" {
+		if q.kind != ports.Status {
+			g.tenure.unsureAt = now
+		}
 		s.fails++
 		if s.err == 0 {
 			s.err = q.at
@@ -243,6 +258,10 @@
 
 func (g *Group) ask(now int64, i ports.Instance, k ports.Kind, term uint64, every int64) {
 	s := g.m[i.ID]
+	if k != ports.Status && !g.tenure.commands {
+		g.wake(now + commandAgain)
+		return
+	}
 	if s.asking != 0 || now < s.next {
 		g.wake(max(s.next, now+every))
 		return
@@ -250,7 +269,7 @@
 	g.n++
 	s.asking, s.next = g.n, now+every
 	g.qs[g.n] = question{id: i.ID, kind: k, at: now}
-	g.fx = append(g.fx, Ask{ID: g.n, Instance: i, Kind: k, Term: term, WaitUs: askWait})
+	g.fx = append(g.fx, Ask{ID: g.n, Instance: i, Kind: k, Term: term, WaitUs: askWait, Until: g.tenure.until})
 	g.wake(now + every)
 }
 
@@ -263,29 +282,40 @@
 	g.fx = append(g.fx, Put{Base: in.Rev, Data: b})
 }
 
-// next is the state that follows, with this process as its holder.
+// next is the state that follows. It keeps the holder: only a claim or a
+// hand-over changes that.
 func next(in Input, p ports.Phase, cause string) *schema.Leadership {
 	n := proto.Clone(in.State).(*schema.Leadership)
 	n.Phase, n.Cause = uint32(p), cause
-	if n.Holder != in.Self {
-		n.Holder, n.Fence = in.Self, n.Fence+1
-	}
 	return n
 }
 
+// forget drops what was seen of the databases.
+func (g *Group) forget() {
+	for _, s := range g.m {
+		s.known, s.held, s.err, s.gone = false, 0, 0, 0
+	}
+	g.rev = 0
+}
+
 // Step does what is due.
 func (g *Group) Step(now int64, in Input) []any {
 	g.fx, g.due = nil, math.MaxInt64
-	if !in.Acts || !in.Settled {
-		if !in.Acts {
-			// What another does meanwhile makes what was seen here old.
-			for _, s := range g.m {
-				s.known, s.held, s.err, s.gone = false, 0, 0, 0
-			}
-			g.rev = 0
+	g.observe(now, in)
+	if !g.Acts(now, in) {
+		if in.Rev == 0 || g.tenure.fence == 0 {
+			g.forget() // what another does meanwhile makes it old
 		}
+		g.changeHolder(now, in)
+		return g.fx
+	}
+	if !in.Settled {
 		return nil
 	}
+	if now-g.tenure.actedAt > silentAfter {
+		g.forget()
+	}
+	g.tenure.actedAt = now
 	for _, i := range in.Instances {
 		if g.m[i.ID] == nil {
 			g.m[i.ID] = &seen{}
@@ -297,7 +327,7 @@
 	gone := func(id string) bool { _, ok := find(in, id); return !ok && id != in.State.GetPrimary() }
 	maps.DeleteFunc(g.m, func(id string, _ *seen) bool { return gone(id) })
 	maps.DeleteFunc(g.leaving, func(id string, _ int64) bool { return gone(id) })
-	if g.putting > 0 && now-g.putting < 4_000_000 {
+	if g.proposing(now) {
 		return g.fx
 	}
 	if g.rev != in.Rev {
@@ -354,7 +384,8 @@
 		}
 		if s := g.m[i.ID]; s.known && s.status.Primary {
 			g.say(result.TakeoverSeen, "%s: %s leads term %d as found", in.Group, i.ID, s.status.Term)
-			g.put(now, in, &schema.Leadership{Term: s.status.Term, Primary: i.ID, Address: i.Address, Holder: in.Self, Fence: 1, Cause: "found"})
+			g.put(now, in, &schema.Leadership{Term: s.status.Term, Primary: i.ID, Address: i.Address, Holder: in.Duty.Self, HolderRun: in.Duty.Run, Fence: 1, Cause: "found"})
+			g.tenure.free = 1
 			return
 		}
 		g.ask(now, i, ports.Status, 0, probeEvery*2)
@@ -390,6 +421,7 @@
 		return
 	}
 	g.tidy(now, in)
+	g.release(now, in)
 	g.members(now, in, p)
 	if in.Move.Look {
 		g.look(now, in, p)
@@ -653,7 +685,7 @@
 		}
 		missing = append(missing, i)
 		kind := ports.Hold
-		if s.fails%2 == 1 {
+		if s.fails%2 == 1 || !g.tenure.commands {
 			kind = ports.Status // it bounces a hold at a term that is none above its own: learn that
 		}
 		g.ask(now, i, kind, t, holdEvery)
@@ -813,7 +845,7 @@
 		}
 		held, missing := g.hold(now, in, since)
 		if !slices.ContainsFunc(held, func(i ports.Instance) bool { return i.ID == t.ID }) {
-			if now-g.since > targetGone && g.asked == 0 {
+			if now-max(g.since, g.tenure.mayAt) > targetGone && g.asked == 0 && g.tenure.commands {
 				g.again(now, in, "the chosen one cannot be held")
 			}
 			return
@@ -831,9 +863,14 @@
 		if !g.stepped(now, in) {
 			return
 		}
+		if !g.tenure.commands {
+			g.wake(now + commandAgain)
+			return
+		}
 		g.asked, g.bounced = now, false
 		g.calls++
-		g.fx = append(g.fx, Promote{ID: t.ID, Owner: in.Self, Fence: in.State.Fence})
+		g.tenure.calls++
+		g.fx = append(g.fx, Promote{ID: t.ID, Owner: in.State.Holder, Fence: in.State.Fence, Until: g.tenure.until})
 		s.next = now + lookEvery*3
 		g.wake(now + lookEvery*3)
 		return
@@ -851,7 +888,7 @@
 // have them acknowledged.
 func (g *Group) stepped(now int64, in Input) bool {
 	o, ok := find(in, in.State.Old)
-	if !ok || g.asked > 0 || now-g.since > targetGone {
+	if !ok || g.asked > 0 || now-max(g.since, g.tenure.mayAt) > targetGone {
 		return true
 	}
 	s := g.m[o.ID]
@@ -901,6 +938,27 @@
 	}
 }
 
+// release looks for followers that are held in an open group, and has them go
+// on: a command of the holder before may arrive long after it was given up. It
+// does so for a while after a claim, and where nodes cannot use the primary, which
+// answers no commit while nobody receives.
+func (g *Group) release(now int64, in Input) {
+	t := &g.tenure
+	if in.Sights[in.State.Primary].Nodes == 0 && (t.free == t.fence || now-t.since > watchFor) {
+		return
+	}
+	for _, i := range in.Instances {
+		s := g.m[i.ID]
+		switch {
+		case i.ID == in.State.Primary || i.Primary:
+		case s.known && s.err == 0 && s.status.Held > 0:
+			g.ask(now, i, ports.Resume, 0, tidyEvery)
+		default:
+			g.ask(now, i, ports.Status, 0, watchEvery)
+		}
+	}
+}
+
 // members keeps the agreed members: whoever is announced joins at once; one that
 // is gone is left out once the others hold all that the primary held after it
 // went, so that nothing acknowledged rests on it alone.
