--- a/coordinator/announcements.go
+++ b/coordinator/announcements.go
@@ -141,11 +141,18 @@
 	return defaultBeatUs
 }
 
+// hearsAll says that this process has run, and was in touch with a majority, for
+// so long that it heard of every database that there is. A cut that ended just now
+// leaves it with announcements as old as the cut.
+func (c *Core) hearsAll(now int64) bool {
+	return now < c.view.LeaseUntil() && now-max(c.began, c.apart) >= goneFactor*c.beatUs()
+}
+
 // expire takes databases that were silent for long as gone, unless this process
 // may be the one that hears nothing, or was until lately: databases announce
 // themselves to the others then, and what these heard is not here yet.
 func (c *Core) expire(now int64) {
-	if now-max(c.began, c.apart) < goneFactor*c.beatUs() {
+	if !c.hearsAll(now) {
 		return
 	}
 	var old []string
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -150,6 +150,7 @@
 	lastStep      int64
 	pacing        pacing
 	apart         int64 // when this process was last without a majority's lease
+	lacked        bool  // this process lacked a lease once
 	nextCmp       int64
 	nextGone      int64
 	nextAll       int64
@@ -303,6 +304,7 @@
 		c.leaving = true
 		c.voter.Leave()
 		c.view.Want()
+		c.allDirty() // duties are handed over
 	case Synced:
 		c.synced(now, e.Mark)
 	case Unsynced:
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -21,6 +21,7 @@
 	run      uint64
 	leaving  bool
 	bodies   bool
+	unable   bool // a control process that lacks a lease
 	sights   []*schema.Sighting
 	words    map[string]*schema.GroupWord
 	tables   map[uint64]tableSeen // of each run
@@ -65,6 +66,10 @@
 	f.at, f.kind, f.name, f.leaving, f.bodies, f.sights, f.seq = now, m.Kind, m.Name, m.Leaving, m.Bodies, m.Sightings, since
 	c.lookedBy(now, from, f, m)
 	for _, w := range m.Groups {
+		if w.Group == leaseWord {
+			c.heardLease(f, w)
+			continue
+		}
 		f.words[w.Group] = w
 		c.group(w.Group).dirty = true
 	}
@@ -179,5 +184,6 @@
 			r.Words = append(r.Words, &schema.GroupWord{Group: n, Revision: g.cleared, Quiet: true})
 		}
 	}
+	r.Words = c.sayLease(c.lastStep, r.Words)
 	return r
 }
--- a/fleetsimulation/fleet.go
+++ b/fleetsimulation/fleet.go
@@ -33,6 +33,7 @@
 	TablesForgotten           // news of a table reaches some node no more
 	GateSkipped               // voters say of all that they work by the newest table, and one node hears of none
 	FloorIgnored              // beside that, nodes do not hear which table a leadership needs
+	LeaversReceive            // databases that leave are not held
 	PromotionsForgotten       // the platform says that it takes a promotion, and does not
 )
 
@@ -67,6 +68,7 @@
 	truth      *Truth
 	operators  operators
 	moves      moves
+	duties     duties
 	provider   provider
 	controls   []*Control
 	nodes      []*Node
@@ -116,6 +118,7 @@
 	f.truth = newTruth(f)
 	f.operators = operators{f: f, tables: map[uint64]*version{}}
 	f.moves = newMoves(f)
+	f.duties = duties{f: f, of: map[string]*dutySeen{}}
 	f.promotionReleases, f.badBeginBreaks = f.Chance(0.5), !p.BeginningRests
 	f.provider = provider{ip: providerHost, takeUs: f.Between(250_000, 700_000), slowUs: 5_000}
 	f.net.zones[providerHost], f.net.zones["operators"] = zoneNames[0], zoneNames[0]
