A run, a takeover and an operator's change are not sent on by a redirection

- Cause: net/http follows 307 and 308 with the same method and body.
A run with a write or a commit, a takeover and an operator's change or move were sent a second time, to whatever address the answer named; after 303 the answer to a GET elsewhere stood for theirs.
Change: a redirection is an answer, and no good one.
Operators' calls have a connection each.
- Cause: a run's answer with fewer or more results than ops, such as none from another program that has the address now, was taken as done, a commit included; so was `{}` as "done" by operators' commands, whose code for that is 0, and the first of two values.
Change: an answer has a result for each op up to the first that failed, a reply to a change holds a code, and both are one value.

Ruled out: net/http sending a POST, PUT, PATCH or DELETE again after a reset, a hang-up, half a head or half a body on a connection used before (shown: one call each); a late answer read by the next call (the connection is closed with its caller's time).

--- a/cmd/stoneford/moves.go
+++ b/cmd/stoneford/moves.go
@@ -19,6 +19,7 @@
 	"github.com/urfave/cli/v3"
 
 	"stoneford/coordinator"
+	"stoneford/operators"
 	"stoneford/result"
 )
 
@@ -79,7 +80,7 @@
 	if err != nil {
 		return r, false, err
 	}
-	rs, err := http.DefaultClient.Do(rq)
+	rs, err := operators.HTTP.Do(rq)
 	if err != nil {
 		var op *net.OpError
 		return r, method == http.MethodGet || errors.As(err, &op) && op.Op == "dial", err
@@ -88,7 +89,7 @@
 	if rs.StatusCode == http.StatusNotFound && rs.Header.Get("Content-Type") != "application/json" {
 		return r, true, errors.New("this is no control process")
 	}
-	return r, method == http.MethodGet, json.NewDecoder(rs.Body).Decode(&r)
+	return r, method == http.MethodGet, operators.ReadReply(rs, &r)
 }
 
 func showMove(c *cli.Command, r coordinator.MoveReply, err error, done string) error {
--- a/databaseclient/client.go
+++ b/databaseclient/client.go
@@ -60,7 +60,9 @@
 	Address string `json:"address"`
 }
 
-// Client is safe for use by many goroutines.
+// Client is safe for use by many goroutines. It sends a call once: a redirection
+// is not followed, and net/http sends a POST or DELETE again only where none of
+// its bytes left.
 type Client struct{ h *http.Client }
 
 // New makes a client whose connections come from a local address, or from any.
@@ -68,12 +70,14 @@
 	return &Client{h: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 700 * time.Millisecond, KeepAlive: 5 * time.Second, LocalAddr: from}).DialContext,
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-	}}}
+	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
 // ErrNeverLeft marks a call of which no byte reached the other side.
 var ErrNeverLeft = errors.New("never left")
 
+var errAnswer = errors.New("not an answer to this call")
+
 func (c *Client) do(ctx context.Context, method, url string, in, out any) error {
 	var body io.Reader
 	if in != nil {
@@ -100,11 +104,11 @@
 		t, _ := io.ReadAll(io.LimitReader(rs.Body, 200))
 		return fmt.Errorf("status %d: %s", rs.StatusCode, bytes.TrimSpace(t))
 	}
-	if err := json.NewDecoder(rs.Body).Decode(out); err != nil {
+	b, err := io.ReadAll(rs.Body)
+	if err != nil {
 		return err
 	}
-	_, err = io.Copy(io.Discard, rs.Body)
-	return err
+	return json.Unmarshal(b, out) // one value: more than one is an error
 }
 
 // Open opens a connection in the name of one run of a pool node: a later run
@@ -124,14 +128,24 @@
 	return c.do(ctx, http.MethodDelete, fmt.Sprintf("http://%s/v1/connections/%d", addr, id), nil, &o)
 }
 
-// Run runs ops over a connection.
+// Run runs ops over a connection. What does not hold a result for each op, up to
+// the first that failed, is no answer to it.
 func (c *Client) Run(ctx context.Context, addr string, id int64, epoch uint64, readOnly bool, ops []Op) (Run, error) {
 	var o Run
 	in := map[string]any{"epoch": epoch, "read_only": readOnly, "ops": ops}
 	err := c.do(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/connections/%d", addr, id), in, &o)
+	if err == nil && !o.answers(ops) {
+		err = fmt.Errorf("%w: %d results for %d ops", errAnswer, len(o.Results), len(ops))
+	}
 	return o, err
 }
 
+func (r Run) answers(ops []Op) bool {
+	n := len(r.Results)
+	failed := n > 0 && r.Results[n-1].Error != ""
+	return r.Bounced != "" || n == len(ops) || failed && n < len(ops)
+}
+
 // Poll asks for the status, waiting until the positions are reached or the
 // time is over.
 func (c *Client) Poll(ctx context.Context, addr string, received, applied, waitUs int64) (Status, error) {
--- /dev/null
+++ b/databaseclient/client_test.go
@@ -0,0 +1,147 @@
+package databaseclient
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// faulty is a database that reacts to whole calls, and counts them.
+func faulty(t *testing.T, react http.HandlerFunc) (address string, calls *atomic.Int64) {
+	t.Helper()
+	calls = &atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		calls.Add(1)
+		react(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), calls
+}
+
+func says(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) }
+}
+
+// breaks ends the connection with what was written to it, or resets it.
+func breaks(text string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		io.WriteString(c, text)
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+const wholeRun = `{"results":[{"rows":[["a"]]},{"position":7}],"epoch":3,"applied":7}`
+
+var twoOps = []Op{{Op: "statement", Text: "x"}, {Op: "commit"}}
+
+// TestARunLeavesOnce: whatever becomes of its answer, and also on a connection
+// that was used before, a run is sent once.
+func TestARunLeavesOnce(t *testing.T) {
+	elsewhere, others := faulty(t, says(wholeRun))
+	for name, react := range map[string]http.HandlerFunc{
+		"redirects, 307":         func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+elsewhere+r.URL.Path, 307) },
+		"redirects, 308":         func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+elsewhere+r.URL.Path, 308) },
+		"redirects, 303":         func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+elsewhere+r.URL.Path, 303) },
+		"resets":                 breaks("", true),
+		"hangs up":               breaks("", false),
+		"half a head":            breaks("HTTP/1.1 200", false),
+		"half a body":            breaks("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n"+wholeRun[:30], false),
+		"a short body":           breaks("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n"+wholeRun, false),
+		"silent":                 silent,
+		"more than one value":    says(wholeRun + wholeRun),
+		"no results":             says(`{}`),
+		"fewer results than ops": says(`{"results":[{"rows":[["a"]]}],"epoch":3}`),
+		"more results than ops":  says(`{"results":[{},{},{}],"epoch":3}`),
+	} {
+		first := true
+		address, calls := faulty(t, func(w http.ResponseWriter, r *http.Request) {
+			if first {
+				first = false
+				io.WriteString(w, wholeRun)
+				return
+			}
+			react(w, r)
+		})
+		c := New(nil)
+		if _, err := c.Run(t.Context(), address, 4, 3, false, twoOps); err != nil {
+			t.Fatal(name, err)
+		}
+		ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		out, err := c.Run(ctx, address, 4, 3, false, twoOps)
+		stop()
+		if err == nil || errors.Is(err, ErrNeverLeft) {
+			t.Errorf("%s: %+v %v", name, out, err)
+		}
+		if n := calls.Load(); n != 2 {
+			t.Errorf("%s: %d calls for two runs", name, n)
+		}
+	}
+	if n := others.Load(); n != 0 {
+		t.Errorf("another address was called %d times", n)
+	}
+}
+
+func TestARunThatFailsHasFewerResults(t *testing.T) {
+	for _, text := range []string{`{"results":[{"error":"failed"}]}`, `{"results":[{},{"error":"failed"}]}`, `{"refused":"epoch"}`} {
+		address, _ := faulty(t, says(text))
+		if _, err := New(nil).Run(t.Context(), address, 4, 3, false, twoOps); err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// TestALateAnswerIsNobodys: what comes after its caller's time is not read as
+// the next call's.
+func TestALateAnswerIsNobodys(t *testing.T) {
+	late := make(chan struct{})
+	var n atomic.Int64
+	address, _ := faulty(t, func(w http.ResponseWriter, _ *http.Request) {
+		if n.Add(1) == 1 {
+			<-late
+			io.WriteString(w, `{"identity":"old"}`)
+			return
+		}
+		io.WriteString(w, `{"identity":"new"}`)
+	})
+	c := New(nil)
+	ctx, stop := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer stop()
+	if s, err := c.Seal(ctx, address, 3); !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(s, err)
+	}
+	close(late)
+	for range 3 {
+		if s, err := c.Seal(t.Context(), address, 3); err != nil || s.Identity != "new" {
+			t.Error(s, err)
+		}
+	}
+}
+
+// TestATakeoverLeavesOnce: the platform is called once, and only where it is.
+func TestATakeoverLeavesOnce(t *testing.T) {
+	elsewhere, others := faulty(t, says(`{}`))
+	address, calls := faulty(t, func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "http://"+elsewhere+r.URL.Path, 307) })
+	if err := New(nil).Takeover(t.Context(), address, "g", "a", "i-1", 4, nil); err == nil {
+		t.Error("it was taken elsewhere")
+	}
+	if calls.Load() != 1 || others.Load() != 0 {
+		t.Error(calls.Load(), others.Load())
+	}
+}
--- a/operators/client.go
+++ b/operators/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,7 +21,37 @@
 	Token     string
 }
 
-const askTime = 7 * time.Second
+const (
+	askTime   = 7 * time.Second
+	replyMost = 64 << 20
+)
+
+// HTTP sends operators' calls. A call leaves once: each has a connection of its
+// own, and a redirection, which would have it sent again, is an answer.
+var HTTP = &http.Client{
+	Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// ReadReply reads a control process's reply into out. It is a single JSON value
+// and, but for a status, holds a code; what is not is the word of another program,
+// or part of a reply.
+func ReadReply(rs *http.Response, out any) error {
+	b, err := io.ReadAll(io.LimitReader(rs.Body, replyMost))
+	if err != nil {
+		return err
+	}
+	var head struct {
+		Code *result.Code `json:"code"`
+	}
+	if err := json.Unmarshal(b, &head); err != nil {
+		return fmt.Errorf("%s: %w", rs.Status, err)
+	}
+	if head.Code == nil && rs.Request.Method != http.MethodGet {
+		return fmt.Errorf("%s: this is no control process", rs.Status)
+	}
+	return json.Unmarshal(b, out)
+}
 
 // Do puts a query to the control processes in turn until one replies. A change
 // goes to the next only when the one before it was never reached: after that,
@@ -61,7 +92,7 @@
 		return err
 	}
 	rq.Header.Set("Authorization", "Bearer "+c.Token)
-	rs, err := http.DefaultClient.Do(rq)
+	rs, err := HTTP.Do(rq)
 	if err != nil {
 		if dialed(err) {
 			return &dialError{err}
@@ -69,7 +100,7 @@
 		return err
 	}
 	defer rs.Body.Close()
-	return json.NewDecoder(rs.Body).Decode(out)
+	return ReadReply(rs, out)
 }
 
 // Configuration reads the partner's configuration; applied asks who works by which
