A late word of an ended session leaves the session in its place alone

Cause: pool nodes of the own product find a session by its name. A second DELETE, or a query whose table had let the session go, removed the name and shut the session whatever stood there by then: also one that another caller had opened under the same name since. The first DELETE made the name free before the table was told, so that its own word could reach the newer session.

Change: a session is ended once; the table is told first, and a name is removed only while it is that session's.

Shown: TestASessionsNameTakenAgain; red with ends not counted and names removed whoever has them ("it was ended twice", "the newer session lost its name").

--- a/pool/callers.go
+++ b/pool/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/samber/lo"
 
@@ -132,6 +133,18 @@
 type routed struct {
 	r     *runner
 	route string
+	ended atomic.Bool // its name may be another session's from now on
+}
+
+// forget ends a session and makes its name free, unless that was done before: a
+// session that was opened under the name since is another one.
+func (p *Process) forget(id string, s *routed) bool {
+	if !s.ended.CompareAndSwap(false, true) {
+		return false
+	}
+	s.r.l.Post(querytable.Shut{Session: id}) // before the name is free
+	p.sessions.CompareAndDelete(id, s)
+	return true
 }
 
 func (p *Process) session(w http.ResponseWriter, r *http.Request) (string, *routed) {
@@ -149,8 +162,10 @@
 	if s == nil {
 		return
 	}
-	p.sessions.Delete(id)
-	s.r.l.Post(querytable.Shut{Session: id})
+	if !p.forget(id, s) {
+		p.bounce(w, result.UnknownSession, id)
+		return
+	}
 	p.give(w, reply{Outcome: result.Done, Session: id})
 }
 
@@ -167,7 +182,7 @@
 		return
 	}
 	n := p.queryID.Add(1)
-	p.returned(w, id, s.r.ask(n, querytable.Change{ID: n, Session: id, Values: b.Values, Prepared: b.Prepared}))
+	p.returned(w, id, s, s.r.ask(n, querytable.Change{ID: n, Session: id, Values: b.Values, Prepared: b.Prepared}))
 }
 
 type queryBody struct {
@@ -198,13 +213,13 @@
 		return
 	}
 	n := p.queryID.Add(1)
-	p.returned(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
+	p.returned(w, id, s, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
 		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, ExpiryUs: b.ExpiryUs}))
 }
 
-func (p *Process) returned(w http.ResponseWriter, session string, v querytable.Return) {
+func (p *Process) returned(w http.ResponseWriter, session string, s *routed, v querytable.Return) {
 	if v.Code == result.UnknownSession {
-		p.sessions.Delete(session) // the table let it go after long idling
+		p.forget(session, s) // the table let it go after long idling
 	}
 	p.give(w, reply{Code: v.Code, Detail: v.Text, Outcome: v.Outcome, Session: session, Rows: v.Rows, RetryAfterUs: v.RetryAfterUs,
 		Token: lo.ToPtr(v.Token), Copy: v.Copy, Replica: v.Replica, Position: v.Position, Open: v.Open})
--- /dev/null
+++ b/pool/callers_test.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"stoneford/loop"
+	"stoneford/querytable"
+	"stoneford/result"
+)
+
+// sessionEvents notes what the table of sessions is told, in order.
+type sessionEvents struct {
+	mu  sync.Mutex
+	evs []string
+}
+
+func (e *sessionEvents) step(_ int64, evs []any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, ev := range evs {
+		switch ev := ev.(type) {
+		case querytable.Open:
+			e.evs = append(e.evs, "open "+ev.Session)
+		case querytable.Shut:
+			e.evs = append(e.evs, "shut "+ev.Session)
+		}
+	}
+}
+
+func (e *sessionEvents) expect(t *testing.T, want string) {
+	t.Helper()
+	got := ""
+	for until := time.Now().Add(5 * time.Second); got != want && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		e.mu.Lock()
+		got = strings.Join(e.evs, ", ")
+		e.mu.Unlock()
+	}
+	if got != want {
+		t.Errorf("%q, not %q", got, want)
+	}
+}
+
+// TestASessionsNameTakenAgain: what is late of an ended session does not end the
+// one that another caller has opened under its name.
+func TestASessionsNameTakenAgain(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	p := &Process{clock: clock}
+	r := &runner{p: p, group: "g", l: loop.New(clock, clock.Now(), 64)}
+	p.routes.Store(&map[string]Route{"r": {Group: "g"}})
+	p.groups.Store(&map[string]*runner{"g": r})
+	seen := &sessionEvents{}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { r.l.Run(ctx, time.Millisecond, seen.step); close(ended) }()
+	defer func() { stop(); <-ended }()
+	call := func(method, path, body string) int {
+		w := httptest.NewRecorder()
+		p.handler().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w.Code
+	}
+	open := func() *routed {
+		t.Helper()
+		if s := call("POST", "/v1/sessions", `{"session":"x","route":"r"}`); s != http.StatusOK {
+			t.Fatal(s)
+		}
+		v, _ := p.sessions.Load("x")
+		return v.(*routed)
+	}
+	old := open()
+	if s := call("DELETE", "/v1/sessions/x", ""); s != http.StatusOK {
+		t.Error(s)
+	}
+	now := open()
+	p.returned(httptest.NewRecorder(), "x", old, querytable.Return{Code: result.UnknownSession})
+	if p.forget("x", old) {
+		t.Error("it was ended twice")
+	}
+	if v, ok := p.sessions.Load("x"); !ok || v != now {
+		t.Error("the newer session lost its name")
+	}
+	seen.expect(t, "open x, shut x, open x")
+	if !p.forget("x", now) {
+		t.Error("the newer session cannot be ended")
+	}
+	seen.expect(t, "open x, shut x, open x, shut x")
+}
