A reply to an earlier run of a process is none to its later run

Cause: a proposer matches promises and acceptances by key, sender and the number of its attempt, and every run of a process numbered its attempts from 1. A control process that starts again asks the same first questions; a reply that its earlier run had waited for, late on another connection, counted for the later run's question of the same number. A reading could end with what a majority held before the restart, and a change be confirmed that no majority had accepted: for the operator a Fetch of an old configuration, or a 200 for a lost one. Ballots name their run, but a reading has none, and replies were not held against it. Permits of the own product were matched the same way.

Ruled out: looks and announcements, which begin at a place of the run's own (voterview, coordinator); orders and calls inside a process, whose ids never leave it; drpc streams, which carry no replies.

Change: attempts and asks for permits are numbered from a place of the run's own too (step.FirstNumber, 36 bits of a hash of the run).

--- a/ballots/proposer.go
+++ b/ballots/proposer.go
@@ -76,7 +76,8 @@
 	name   string // unique to this run of the process: no ballot is ever reused
 	voters []string
 	round  uint64
-	number uint64
+	first  uint64 // where this run's attempts are numbered from
+	number uint64 // of the newest attempt
 	busy   map[string]*attempt
 	line   map[string][]Change
 	// Known, where set, is what the voter beside this proposer accepted of a key:
@@ -87,7 +88,8 @@
 // NewProposer makes a proposer; run must be a name that no earlier run of the
 // process used. With no voters it waits until it is told who they are.
 func NewProposer(self, run string, voters []string) *Proposer {
-	return &Proposer{self: self, name: self + "#" + run, voters: slices.Clone(voters), busy: map[string]*attempt{}, line: map[string][]Change{}}
+	first := step.FirstNumber("attempt", self, run)
+	return &Proposer{self: self, name: self + "#" + run, voters: slices.Clone(voters), first: first, number: first, busy: map[string]*attempt{}, line: map[string][]Change{}}
 }
 
 // SetVoters tells who the voters are, once that is known; what waits begins anew.
@@ -296,7 +298,7 @@
 	a.tries++
 	a.look = false
 	spread := int64(10_000) << min(a.tries, 5)
-	a.again = now + 2_000 + int64(step.Hash(p.name, a.ch.Key, string(rune(a.number)))%uint64(spread))
+	a.again = now + 2_000 + int64(step.Hash(p.name, a.ch.Key, string(rune(a.number-p.first)))%uint64(spread))
 }
 
 func (p *Proposer) toAll(fx *ProposerEffects, e *schema.Envelope) {
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -8,8 +8,10 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 
 	"stoneford/schema"
+	"stoneford/step"
 )
 
 const (
@@ -152,7 +154,7 @@
 
 // NewAsker makes a node's side for one group.
 func NewAsker(group string, run uint64) *Asker {
-	return &Asker{group: group, run: run, caps: map[string]int32{}}
+	return &Asker{group: group, run: run, number: step.FirstNumber("permit", group, strconv.FormatUint(run, 10)), caps: map[string]int32{}}
 }
 
 // Tick returns an ask when one is due. inUse is how many connections are open
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -114,3 +114,17 @@
 	// 0
 	// 5 5
 }
+
+// TestAGiveToAnEarlierRunIsVoid: a node that starts again numbers its asks
+// otherwise than before, so that a late permit of its earlier run, which the
+// holder counts beside this one's, is not used as well.
+func TestAGiveToAnEarlierRunIsVoid(t *testing.T) {
+	earlier, later := NewAsker("g", 1), NewAsker("g", 2)
+	for now := int64(0); now < 20*AskEvery; now += AskEvery {
+		ask := earlier.Tick(now, nil)
+		later.Tick(now, nil)
+		if later.Give(now, &schema.PermitGive{Group: "g", Number: ask.Number, Connections: map[string]int32{"db": 7}, LengthUs: LengthUs}) || later.Cap(now, "db") > 0 {
+			t.Fatalf("a permit for ask %d of the earlier run is used", ask.Number)
+		}
+	}
+}
--- a/step/step.go
+++ b/step/step.go
@@ -17,6 +17,14 @@
 	Env *schema.Envelope
 }
 
+// numberShift keeps numbers short on the wire.
+const numberShift = 28
+
+// FirstNumber is where a run of a process begins to number what it asks. Replies
+// name that number and no run: begun at 1 by each, a late reply to an earlier run
+// would be taken for one to the same question of this run.
+func FirstNumber(of ...string) uint64 { return Hash(of...) >> numberShift }
+
 // Hash is the one hash by which nodes are ranked and keys digested; it is the
 // same in every process and every build.
 func Hash(ps ...string) uint64 {
