The table's connections, dispatch, answers and failures stand in files of their own

Every declaration is moved as it stood: answers, levels, commits, failures, connections, dispatch, health; but for package clauses and imports the sorted lines are the same.

--- a/sessiontable/lines.go
+++ b/sessiontable/connections.go
@@ -1,7 +1,6 @@
 package sessiontable
 
 import (
-	"maps"
 	"math"
 	"slices"
 
@@ -99,78 +98,6 @@
 	crowdedAgain = 25_000 // and it tries again after about this
 )
 
-// dispatch starts what it can of an instance's line.
-func (t *Table) dispatch(in *instance) {
-	if t.drained(in) {
-		t.replaceLine(in, func(a *ask) bool { return !a.goesOn() })
-	}
-	for in.line.len() > 0 && !in.out {
-		if in.failing > 0 {
-			t.scatter(in)
-			t.probe(in)
-			return
-		}
-		if in.running-in.stuck >= max(1, int(in.slots)) {
-			return
-		}
-		if t.now < in.pause {
-			t.wakeAt(in, in.pause)
-			return
-		}
-		a := in.line.top()
-		var c *conn
-		if a.goesOn() {
-			c = a.tx.conn
-		} else if c = t.pick(in, a); c == nil {
-			t.openMore(in, a)
-			return
-		}
-		t.unplace(a)
-		t.send(a, c)
-	}
-}
-
-func (t *Table) wakeAt(in *instance, at int64) {
-	if in.wake.place == 0 || in.wake.at > at {
-		t.arm(&in.wake, at)
-	}
-}
-
-// pick takes the idle connection that needs the least to be set: the one used
-// last among equals, so that the others can grow old and be closed.
-func (t *Table) pick(in *instance, a *ask) *conn {
-	best, score := -1, -1
-	for i := len(in.idle) - 1; i >= 0; i-- {
-		c, n := in.idle[i], 0
-		switch {
-		case c.stale:
-		case c.vals == a.s.vals || c.vals.key == a.s.vals.key:
-			n = 4
-			if a.shape == nil || c.prepared[a.shape] {
-				n = 6
-			}
-		case c.vals.within(a.s.vals):
-			n = 2
-			if a.shape != nil && c.prepared[a.shape] {
-				n = 3
-			}
-		}
-		if n > score {
-			best, score = i, n
-		}
-		if n == 6 {
-			break
-		}
-	}
-	if best < 0 {
-		return nil
-	}
-	c := in.idle[best]
-	in.idle = slices.Delete(in.idle, best, best+1)
-	t.disarm(&c.due)
-	return c
-}
-
 // openMore opens connections for a line, unless one in use will surely do.
 func (t *Table) openMore(in *instance, a *ask) {
 	// More than the statements that may run at once are of no use.
@@ -242,151 +169,39 @@
 	}
 }
 
-// scatter places anew the reads that wait for an instance that fails, once.
-func (t *Table) scatter(in *instance) {
-	if in.spread {
-		return
-	}
-	in.spread = true
-	t.replaceLine(in, func(a *ask) bool { return !a.goesOn() && !a.atPrimary() })
-}
-
-// fails notes that an instance cannot be used; it is told at once.
-func (t *Table) fails(in *instance, since int64, cut bool) {
-	if in.failing == 0 || cut && !in.cut {
-		t.changed = true
-	}
-	if in.failing == 0 {
-		in.failing = max(since, 1)
-	}
-	in.cut = in.cut || cut
-	in.dirtyIn(t)
-	t.wakeAt(in, max(in.backoff, t.now+50_000))
-}
-
-// works notes that an instance gave a sign.
-func (t *Table) works(in *instance) {
-	if in.failing > 0 {
-		in.failing, in.cut, in.spread = 0, false, false
-		in.dirtyIn(t)
-	}
-	in.wrong = false
-}
-
-// probe connects to an instance that fails, to see when it works again.
-func (t *Table) probe(in *instance) {
-	if in.failing == 0 || in.out || in.Leaving || in.wrong || in.opening > 0 {
-		return
-	}
-	if t.now < in.backoff {
-		t.wakeAt(in, in.backoff)
-		return
-	}
-	if len(in.conns)-in.stuck < t.most(in) {
-		in.backUs = min(max(in.backUs*2, 50_000), 1_000_000)
-		in.backoff = t.now + in.backUs
-		t.connect(in)
-		return
-	}
-	t.wakeAt(in, t.now+500_000)
-}
-
-// send sends an ask over a connection, with what has to stand there first, in
-// one write.
-func (t *Table) send(a *ask, c *conn) {
-	s, x, in := a.s, a.tx, c.in
-	begun := x != nil && x.begun
-	ops := make([]ports.Op, 0, 4)
-	own := func(st ports.Statement) {
-		ops = append(ops, ports.Op{Own: true, St: st})
-		c.pend = append(c.pend, pending{what: ownOp})
-	}
-	if !begun && (c.stale || !c.vals.within(s.vals) || a.shape != nil && len(c.prepared) >= t.o.Prepared && !c.prepared[a.shape]) {
-		own(ports.Statement{Kind: ports.Reset})
-		c.vals, c.stale = noValues, false
-		clear(c.prepared)
-		t.counts.Resets++
-	}
-	if c.vals != s.vals {
-		if c.vals.key != s.vals.key {
-			for _, n := range slices.Sorted(maps.Keys(s.vals.m)) {
-				if v, ok := c.vals.m[n]; !ok || v != s.vals.m[n] {
-					own(ports.Statement{Kind: ports.SetValue, Name: n, Text: s.vals.m[n]})
-					c.stale = c.stale || begun
-				}
+// pick takes the idle connection that needs the least to be set: the one used
+// last among equals, so that the others can grow old and be closed.
+func (t *Table) pick(in *instance, a *ask) *conn {
+	best, score := -1, -1
+	for i := len(in.idle) - 1; i >= 0; i-- {
+		c, n := in.idle[i], 0
+		switch {
+		case c.stale:
+		case c.vals == a.s.vals || c.vals.key == a.s.vals.key:
+			n = 4
+			if a.shape == nil || c.prepared[a.shape] {
+				n = 6
+			}
+		case c.vals.within(a.s.vals):
+			n = 2
+			if a.shape != nil && c.prepared[a.shape] {
+				n = 3
 			}
 		}
-		c.vals = s.vals
-	}
-	if p := a.shape; p != nil && !c.prepared[p] {
-		own(ports.Statement{Kind: ports.Prepare, Name: p.name, Text: p.text, Writes: p.writes})
-		if c.prepared == nil {
-			c.prepared = map[*shape]bool{}
-		}
-		c.prepared[p] = true
-		c.stale = c.stale || begun
-	}
-	alone := false
-	op := ports.Op{St: a.st}
-	if x != nil && !begun {
-		x.conn, x.begun, c.tx = c, true, x
-		in.txs++
-		b := ports.Op{St: x.begin}
-		if x.readOnly {
-			b.After = a.need
+		if n > score {
+			best, score = i, n
 		}
-		ops = append(ops, b)
-		c.pend = append(c.pend, pending{beginOp, a})
-		alone = t.o.BeginApart
-	} else if x == nil && !a.write {
-		op.After = a.need
-	}
-	if a.shape != nil {
-		op.Name = a.shape.name
-	}
-	a.left = !alone
-	if !alone {
-		ops = append(ops, op)
-		c.pend = append(c.pend, pending{mainOp, a})
-	}
-	c.ask, c.slot, c.sentUs, c.beginBad = a, true, t.now, nil
-	c.led = 0
-	if in.g.view.Primary == in.ID {
-		c.led = in.g.view.Term
-	}
-	a.conn, a.in, a.sentUs, a.term = c, in, t.now, in.g.view.Term
-	if a.tries++; a.tries > 1 {
-		t.counts.Again++
-	}
-	if !begun {
-		if c.led != 0 {
-			t.counts.Primary++
-		} else {
-			t.counts.Follower++
+		if n == 6 {
+			break
 		}
 	}
-	in.running++
-	t.running++
-	t.used(in)
-	t.arm(&a.due, min(a.expiry, t.now+t.silence(in, a)))
-	t.emit(Send{Conn: c.id, Ops: ops})
-	t.touch(c)
-}
-
-// sendMain sends the statement whose kept beginning went alone.
-func (t *Table) sendMain(c *conn, a *ask) {
-	op := ports.Op{St: a.st}
-	if a.shape != nil {
-		op.Name = a.shape.name
+	if best < 0 {
+		return nil
 	}
-	a.left = true
-	c.pend = append(c.pend, pending{mainOp, a})
-	t.emit(Send{Conn: c.id, Ops: []ports.Op{op}})
-}
-
-// silence is how long a statement may run before its database is suspect.
-func (t *Table) silence(in *instance, a *ask) int64 {
-	return max(t.o.SilentUs, 8*t.runOf(in, a.runIndex()))
+	c := in.idle[best]
+	in.idle = slices.Delete(in.idle, best, best+1)
+	t.disarm(&c.due)
+	return c
 }
 
 // release parts a transaction from its connection; the database is told to roll
