Requests, refusals, deadlines and load in the table of sessions

ask, bounce, expiry and burden become request, refuse, deadline and load in package sessiontable; names of other packages' fields stay.

--- a/sessiontable/answers.go
+++ b/sessiontable/answers.go
@@ -42,8 +42,8 @@
 			return
 		}
 		// It went alone (Options.BeginApart).
-		if an.Code == ports.Done && an.State == ports.Open && c.ask != nil {
-			t.sendMain(c, c.ask)
+		if an.Code == ports.Done && an.State == ports.Open && c.request != nil {
+			t.sendMain(c, c.request)
 			return
 		}
 		an.Stamped = false
@@ -55,7 +55,7 @@
 
 // ran takes the end of a statement on a connection: what is known of it decides
 // what its caller is told (design 14.9).
-func (t *Table) ran(c *conn, a *ask, an ports.Answer, main bool) {
+func (t *Table) ran(c *conn, a *request, an ports.Answer, main bool) {
 	in := c.in
 	sent := c.sentUs
 	t.unslot(c)
@@ -65,12 +65,12 @@
 		t.noteEvidence(c, sent, an.Position, an.Code == ports.Done && a != nil && a.mayKeep())
 	}
 	t.noteLevel(in, an.Position)
-	if c.ask == nil {
+	if c.request == nil {
 		// Nobody waits: its reader was given up or went elsewhere.
 		t.free(c)
 		return
 	}
-	c.ask, a.conn, a.in = nil, nil, nil
+	c.request, a.conn, a.in = nil, nil, nil
 	t.disarm(&a.due)
 	defer func() {
 		t.quieter(in)
@@ -107,7 +107,7 @@
 	}
 }
 
-func (t *Table) done(c *conn, a *ask, an ports.Answer) {
+func (t *Table) done(c *conn, a *request, an ports.Answer) {
 	x := a.tx
 	r := ports.Reply{Body: an.Body}
 	kept := a.mayKeep()
@@ -136,14 +136,14 @@
 		return
 	}
 	if kept {
-		t.confirm(a, &unsure{led: c.led, by: c.in.ID, position: an.Position, reply: r, until: min(a.expiry, t.now+t.o.UnsureUs)})
+		t.confirm(a, &unsure{led: c.led, by: c.in.ID, position: an.Position, reply: r, until: min(a.deadline, t.now+t.o.UnsureUs)})
 		return
 	}
 	t.end(a, r)
 }
 
 // learn takes run times and how many statements the database bears.
-func (t *Table) learn(in *instance, a *ask, an ports.Answer, sent int64) {
+func (t *Table) learn(in *instance, a *request, an ports.Answer, sent int64) {
 	if an.Code == ports.Busy {
 		in.slots = max(1, in.slots/2)
 		run := t.runOf(in, 0)
@@ -176,7 +176,7 @@
 	}
 }
 
-// part drops a connection whose ask was taken off it already.
+// part drops a connection whose request was taken off it already.
 func (t *Table) part(c *conn) {
 	if t.conns[c.id] == c {
 		t.emit(Close{Conn: c.id})
--- a/sessiontable/check.go
+++ b/sessiontable/check.go
@@ -17,7 +17,7 @@
 }
 
 func (c *conn) wrong() string {
-	switch a, x := c.ask, c.tx; {
+	switch a, x := c.request, c.tx; {
 	case a != nil && a.conn != c:
 		return "its statement does not know of it"
 	case x != nil && x.conn != c:
--- a/sessiontable/check_test.go
+++ b/sessiontable/check_test.go
@@ -34,10 +34,10 @@
 			open++
 		}
 		// It waits, it runs, or it ran and waits to be confirmed: one of these.
-		if a := s.ask; a != nil && count(a.conn != nil, a.place != 0, a.unsure != nil) != 1 {
+		if a := s.request; a != nil && count(a.conn != nil, a.place != 0, a.unsure != nil) != 1 {
 			t.Fatalf("session %d: its statement neither waits nor runs, or both", s.id)
 		}
-		if a := s.ask; a != nil && a.due.place == 0 {
+		if a := s.request; a != nil && a.due.place == 0 {
 			t.Fatalf("session %d: nothing ends its statement", s.id)
 		}
 	}
--- a/sessiontable/commits.go
+++ b/sessiontable/commits.go
@@ -15,7 +15,7 @@
 // while the database surely leads: nobody else is promoted before every node's
 // lease has run out or the node has confirmed the change, so nothing is
 // acknowledged after another was (design 14.7).
-func (t *Table) confirm(a *ask, u *unsure) {
+func (t *Table) confirm(a *request, u *unsure) {
 	g, p := a.g, u.position
 	switch t.certainty(g, u.led, u.by) {
 	case uncertain:
--- a/sessiontable/connections.go
+++ b/sessiontable/connections.go
@@ -18,7 +18,7 @@
 // pending is one op that was sent and has no end yet.
 type pending struct {
 	what int
-	a    *ask // of beginOp and mainOp
+	a    *request // of beginOp and mainOp
 }
 
 // conn is one connection to a database.
@@ -28,13 +28,13 @@
 	up       bool
 	vals     *values
 	prepared map[*shape]bool
-	stale    bool // what stands on it is not known for sure: reset it first
-	doubt    bool // to be closed as soon as nothing runs on it
-	last     bool // its instance leads no more: closed after what runs
-	ask      *ask // that runs on it
-	slot     bool // a statement on it has no end yet
-	stuck    bool // and has taken too long
-	tx       *tx  // it belongs to
+	stale    bool     // what stands on it is not known for sure: reset it first
+	doubt    bool     // to be closed as soon as nothing runs on it
+	last     bool     // its instance leads no more: closed after what runs
+	request  *request // that runs on it
+	slot     bool     // a statement on it has no end yet
+	stuck    bool     // and has taken too long
+	tx       *tx      // it belongs to
 	pend     []pending
 	state    ports.State
 	sentUs   int64
@@ -99,7 +99,7 @@
 )
 
 // openMore opens connections for a line, unless one in use will surely do.
-func (t *Table) openMore(in *instance, a *ask) {
+func (t *Table) openMore(in *instance, a *request) {
 	// More than the statements that may run at once are of no use.
 	n := len(in.conns) - in.txs
 	want := min(in.line.len()-in.opening, max(1, int(in.slots))-n, t.most(in)-len(in.conns))
@@ -171,7 +171,7 @@
 
 // pick takes the idle connection that needs the least to be set: the one used
 // last among equals, so that the others can grow old and be closed.
-func (t *Table) pick(in *instance, a *ask) *conn {
+func (t *Table) pick(in *instance, a *request) *conn {
 	best, score := -1, -1
 	for i := len(in.idle) - 1; i >= 0; i-- {
 		c, n := in.idle[i], 0
@@ -241,13 +241,13 @@
 	in.dirtyIn(t)
 }
 
-// remove forgets a connection and hands back the ask that ran on it; its
+// remove forgets a connection and hands back the request that ran on it; its
 // transaction can never commit.
-func (t *Table) remove(c *conn) *ask {
+func (t *Table) remove(c *conn) *request {
 	in := c.in
-	var w *ask // of its transaction, still waiting for its turn
-	if x := c.tx; x != nil && x.s.ask != nil && x.s.ask.place != 0 {
-		w = x.s.ask
+	var w *request // of its transaction, still waiting for its turn
+	if x := c.tx; x != nil && x.s.request != nil && x.s.request.place != 0 {
+		w = x.s.request
 		t.unplace(w)
 	}
 	delete(t.conns, c.id)
@@ -267,9 +267,9 @@
 		x.over = true
 		in.txs--
 	}
-	a := c.ask
+	a := c.request
 	if a != nil {
-		c.ask, a.conn, a.in = nil, nil, nil
+		c.request, a.conn, a.in = nil, nil, nil
 	}
 	t.quieter(in)
 	in.dirtyIn(t)
--- a/sessiontable/dispatch.go
+++ b/sessiontable/dispatch.go
@@ -10,7 +10,7 @@
 // dispatch starts what it can of an instance's line.
 func (t *Table) dispatch(in *instance) {
 	if t.drained(in) {
-		t.replaceLine(in, func(a *ask) bool { return !a.goesOn() })
+		t.replaceLine(in, func(a *request) bool { return !a.goesOn() })
 	}
 	for in.line.len() > 0 && !in.out {
 		if in.failing > 0 {
@@ -44,9 +44,9 @@
 	}
 }
 
-// send sends an ask over a connection, with what has to stand there first, in
+// send sends a request over a connection, with what has to stand there first, in
 // one write.
-func (t *Table) send(a *ask, c *conn) {
+func (t *Table) send(a *request, c *conn) {
 	s, x, in := a.s, a.tx, c.in
 	begun := x != nil && x.begun
 	ops := make([]ports.Op, 0, 4)
@@ -102,7 +102,7 @@
 		ops = append(ops, op)
 		c.pend = append(c.pend, pending{mainOp, a})
 	}
-	c.ask, c.slot, c.sentUs, c.beginBad = a, true, t.now, nil
+	c.request, c.slot, c.sentUs, c.beginBad = a, true, t.now, nil
 	c.led = 0
 	if in.g.view.Primary == in.ID {
 		c.led = in.g.view.Term
@@ -121,13 +121,13 @@
 	in.running++
 	t.running++
 	t.used(in)
-	t.arm(&a.due, min(a.expiry, t.now+t.silence(in, a)))
+	t.arm(&a.due, min(a.deadline, t.now+t.silence(in, a)))
 	t.emit(Send{Conn: c.id, Ops: ops})
 	t.touch(c)
 }
 
 // sendMain sends the statement whose kept beginning went alone.
-func (t *Table) sendMain(c *conn, a *ask) {
+func (t *Table) sendMain(c *conn, a *request) {
 	op := ports.Op{St: a.st}
 	if a.shape != nil {
 		op.Name = a.shape.name
@@ -138,6 +138,6 @@
 }
 
 // silence is how long a statement may run before its database is suspect.
-func (t *Table) silence(in *instance, a *ask) int64 {
+func (t *Table) silence(in *instance, a *request) int64 {
 	return max(t.o.SilentUs, 8*t.runOf(in, a.runIndex()))
 }
--- a/sessiontable/events.go
+++ b/sessiontable/events.go
@@ -27,7 +27,7 @@
 	Connected struct {
 		Conn     uint64
 		Position ports.Position
-		Code     ports.Code // of a bounced connect, with Err set
+		Code     ports.Code // of a refused connect, with Err set
 		Err      string
 		NotThere bool
 		Cut      bool
--- a/sessiontable/failures.go
+++ b/sessiontable/failures.go
@@ -4,19 +4,19 @@
 	"stoneford/ports"
 )
 
-// retry has an ask run once more, here or elsewhere, if it still may.
-func (t *Table) retry(a *ask, an *ports.Answer) {
+// retry has a request run once more, here or elsewhere, if it still may.
+func (t *Table) retry(a *request, an *ports.Answer) {
 	if an != nil {
-		a.bounced = an
+		a.refused = an
 	}
-	if a.s.gone || t.now >= a.expiry {
-		t.bounce(a)
+	if a.s.gone || t.now >= a.deadline {
+		t.refuse(a)
 		return
 	}
 	t.place(a)
 }
 
-func (t *Table) failedSingle(in *instance, a *ask, an ports.Answer) {
+func (t *Table) failedSingle(in *instance, a *request, an ports.Answer) {
 	r := ports.Reply{Code: an.Code, Text: an.Text, Body: an.Body}
 	if an.Code == ports.NoStatement {
 		r = ports.Reply{Code: ports.Busy, Text: "the database lost a prepared name; retry at once"}
@@ -30,7 +30,7 @@
 
 // mayRetry says that what a database did not run, or a read, goes on elsewhere
 // or again, and notes what that says of the database.
-func (t *Table) mayRetry(in *instance, a *ask, an ports.Answer) bool {
+func (t *Table) mayRetry(in *instance, a *request, an ports.Answer) bool {
 	switch an.Code {
 	case ports.Busy:
 		return a.tries < 8
@@ -66,7 +66,7 @@
 	return false
 }
 
-func (t *Table) failedInTx(c *conn, a *ask, an ports.Answer) {
+func (t *Table) failedInTx(c *conn, a *request, an ports.Answer) {
 	x := a.tx
 	if !x.ran && an.Code.NotRun() && an.Code != ports.NoStatement {
 		t.rewind(x)
@@ -95,7 +95,7 @@
 
 // beginFailed ends a statement whose kept beginning, sent along with it, was
 // not taken.
-func (t *Table) beginFailed(c *conn, a *ask, bad, an ports.Answer) {
+func (t *Table) beginFailed(c *conn, a *request, bad, an ports.Answer) {
 	x := a.tx
 	if an.Code == ports.Done || !an.Code.NotRun() && an.Code != ports.Malformed && an.Code != ports.RolledBack || an.State == ports.Open {
 		// The statement ran all the same, outside its transaction.
@@ -122,7 +122,7 @@
 	t.end(a, ports.Reply{Code: bad.Code, Text: bad.Text, Body: bad.Body})
 }
 
-func (t *Table) failedCommit(c *conn, a *ask, an ports.Answer) {
+func (t *Table) failedCommit(c *conn, a *request, an ports.Answer) {
 	if an.Code == ports.Busy && an.State == ports.Open && !c.last && a.tries < 8 {
 		t.retry(a, &an)
 		return
@@ -147,9 +147,9 @@
 	t.brokenOff(c, a)
 }
 
-// brokenOff ends the ask of a connection that is gone (design 14.9): what may
+// brokenOff ends the request of a connection that is gone (design 14.9): what may
 // be kept is in doubt, what cannot be is not, and a read goes elsewhere.
-func (t *Table) brokenOff(c *conn, a *ask) {
+func (t *Table) brokenOff(c *conn, a *request) {
 	if a == nil {
 		return
 	}
@@ -161,7 +161,7 @@
 	case x != nil:
 		// A first statement that left may have run there; one whose beginning alone
 		// left did not.
-		if !x.ran && !a.left && a.tries < t.o.Tries && t.now < a.expiry && !a.s.gone {
+		if !x.ran && !a.left && a.tries < t.o.Tries && t.now < a.deadline && !a.s.gone {
 			x.begun, x.over = false, false
 			a.tried = append(a.tried, c.in.ID)
 			t.place(a)
@@ -169,10 +169,10 @@
 		}
 		x.over = true
 		t.end(a, ports.Reply{Code: ports.RolledBack, Text: "the connection broke; the transaction is ended"})
-	case a.tries < t.o.Tries && t.now < a.expiry && !a.s.gone:
+	case a.tries < t.o.Tries && t.now < a.deadline && !a.s.gone:
 		a.tried = append(a.tried, c.in.ID)
 		t.place(a)
-	case t.now >= a.expiry:
+	case t.now >= a.deadline:
 		t.end(a, ports.Reply{Code: ports.Timeout, Text: "no end within its time"})
 	default:
 		t.end(a, ports.Reply{Code: ports.RolledBack, Text: "the connection broke"})
@@ -180,11 +180,11 @@
 }
 
 // overran is called when a running statement's database is silent, and at its
-// expiry.
-func (t *Table) overran(a *ask) {
+// deadline.
+func (t *Table) overran(a *request) {
 	c := a.conn
 	in := c.in
-	if t.now >= a.expiry {
+	if t.now >= a.deadline {
 		t.fails(in, a.sentUs, false)
 		t.drop(c)
 		return
@@ -199,19 +199,19 @@
 	case a.tx == nil && !a.write && a.tries < t.o.Tries && !a.s.gone:
 		// The read goes elsewhere, or is given up where there is no other place; the
 		// connection waits for its end, which nobody hears.
-		c.ask, a.conn, a.in = nil, nil, nil
+		c.request, a.conn, a.in = nil, nil, nil
 		t.arm(&c.due, t.now+t.o.OrphanUs)
 		a.tried = append(a.tried, in.ID)
 		t.place(a)
 		return
 	case a.tx != nil && !a.mayKeep() && again:
 		// It never commits once its connection is closed, so it is given up for
-		// certain and long before its expiry.
+		// certain and long before its deadline.
 		t.drop(c)
 		return
 	case a.tx != nil && !a.mayKeep():
-		t.arm(&a.due, min(a.expiry, t.now+t.silence(in, a)))
+		t.arm(&a.due, min(a.deadline, t.now+t.silence(in, a)))
 		return
 	}
-	t.arm(&a.due, a.expiry)
+	t.arm(&a.due, a.deadline)
 }
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -23,9 +23,9 @@
 	q      freshness.Queue // commits in the primary's order, numbers within qterm
 	qterm  uint64
 	acked  ports.Position
-	ins    []*instance // by id
-	wait   heap[*ask]  // for a primary or a lease
-	unsure []*ask      // commits that were answered and wait for a lease
+	ins    []*instance    // by id
+	wait   heap[*request] // for a primary or a lease
+	unsure []*request     // commits that were answered and wait for a lease
 }
 
 // instance is one database with this node's line to it.
@@ -38,7 +38,7 @@
 	running int // statements without an end
 	stuck   int // of these, the ones that took too long for their place to count
 	txs     int // open transactions on its connections
-	line    heap[*ask]
+	line    heap[*request]
 	ranks   [8]int // waiting, by rank
 	dirty   bool
 	out     bool // no longer announced
@@ -73,7 +73,7 @@
 	g := t.groups[name]
 	if g == nil {
 		g = &group{name: name}
-		g.wait = heap[*ask]{less: before, at: func(a *ask) *int { return &a.place }}
+		g.wait = heap[*request]{less: before, at: func(a *request) *int { return &a.place }}
 		t.groups[name] = g
 		i, _ := slices.BinarySearchFunc(t.gs, name, func(g *group, n string) int { return cmp.Compare(g.name, n) })
 		t.gs = slices.Insert(t.gs, i, g)
@@ -83,7 +83,7 @@
 
 // before orders a line: what goes on in a transaction, then by rank, then by
 // arrival.
-func before(a, b *ask) bool {
+func before(a, b *request) bool {
 	if x, y := a.goesOn(), b.goesOn(); x != y {
 		return x
 	}
@@ -196,7 +196,7 @@
 			in.leavesUs = t.now
 			in.g.q.Drop(in.ID)
 			t.shedIdle(in)
-			t.replaceLine(in, func(a *ask) bool { return !a.goesOn() && t.primary(in.g) != in })
+			t.replaceLine(in, func(a *request) bool { return !a.goesOn() && t.primary(in.g) != in })
 		}
 		in.dirtyIn(t)
 	}
@@ -213,7 +213,7 @@
 	g := t.group(i.Group)
 	in := &instance{Instance: i, g: g}
 	in.wake.owner = in
-	in.line = heap[*ask]{less: before, at: func(a *ask) *int { return &a.place }}
+	in.line = heap[*request]{less: before, at: func(a *request) *int { return &a.place }}
 	n := i.Capacity
 	if n <= 0 {
 		n = t.o.GuessedSlots
@@ -243,7 +243,7 @@
 	for _, c := range slices.Clone(in.conns) {
 		t.drop(c)
 	}
-	t.replaceLine(in, func(*ask) bool { return true })
+	t.replaceLine(in, func(*request) bool { return true })
 }
 
 // shedIdle closes the idle connections of an instance that leaves.
@@ -275,7 +275,7 @@
 			if led || v.Withheld || v.Phase == ports.PhaseSealing || v.Phase == ports.PhasePromoting {
 				t.unseat(p)
 			}
-			t.replaceLine(p, func(a *ask) bool { return !a.goesOn() })
+			t.replaceLine(p, func(a *request) bool { return !a.goesOn() })
 			t.quieter(p)
 		}
 	}
@@ -301,7 +301,7 @@
 func (t *Table) unseat(p *instance) {
 	for _, c := range slices.Clone(p.conns) {
 		switch {
-		case c.tx == nil && c.ask == nil:
+		case c.tx == nil && c.request == nil:
 		case len(c.pend) > 0:
 			c.last = true
 		default:
@@ -311,14 +311,14 @@
 }
 
 // replaceLine places anew what waits in an instance's line.
-func (t *Table) replaceLine(in *instance, which func(*ask) bool) {
-	var as []*ask
+func (t *Table) replaceLine(in *instance, which func(*request) bool) {
+	var as []*request
 	for _, a := range in.line.xs {
 		if which(a) {
 			as = append(as, a)
 		}
 	}
-	slices.SortFunc(as, func(a, b *ask) int { return cmp.Compare(a.seq, b.seq) })
+	slices.SortFunc(as, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
 	for _, a := range as {
 		t.unplace(a)
 		t.place(a)
@@ -331,7 +331,7 @@
 		return
 	}
 	as := slices.Clone(g.wait.xs)
-	slices.SortFunc(as, func(a, b *ask) int { return cmp.Compare(a.seq, b.seq) })
+	slices.SortFunc(as, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
 	for _, a := range as {
 		t.unplace(a)
 		t.place(a)
--- a/sessiontable/health.go
+++ b/sessiontable/health.go
@@ -46,5 +46,5 @@
 		return
 	}
 	in.spread = true
-	t.replaceLine(in, func(a *ask) bool { return !a.goesOn() && !a.atPrimary() })
+	t.replaceLine(in, func(a *request) bool { return !a.goesOn() && !a.atPrimary() })
 }
--- a/sessiontable/levels.go
+++ b/sessiontable/levels.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if fresh {
-		t.replaceLine(in, func(a *ask) bool { return !a.goesOn() && !a.atPrimary() })
+		t.replaceLine(in, func(a *request) bool { return !a.goesOn() && !a.atPrimary() })
 		t.again(g)
 	}
 }
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -10,8 +10,8 @@
 	"stoneford/result"
 )
 
-// runIndex is the average that an ask counts in.
-func (a *ask) runIndex() int {
+// runIndex is the average that a request counts in.
+func (a *request) runIndex() int {
 	i := int(a.route.Kind) * 2
 	if a.write || a.commit {
 		i++
@@ -30,8 +30,8 @@
 	return in.run[i]
 }
 
-// unplace takes an ask out of the line it waits in.
-func (t *Table) unplace(a *ask) {
+// unplace takes a request out of the line it waits in.
+func (t *Table) unplace(a *request) {
 	a.later = false
 	if a.place == 0 {
 		return
@@ -46,10 +46,10 @@
 	a.g.wait.remove(a)
 }
 
-func rankOf(a *ask) int { return min(max(a.route.Rank, 0), 7) }
+func rankOf(a *request) int { return min(max(a.route.Rank, 0), 7) }
 
-// place finds where an ask is to run (design 14.8, 14.10).
-func (t *Table) place(a *ask) {
+// place finds where a request is to run (design 14.8, 14.10).
+func (t *Table) place(a *request) {
 	if a.tries != a.backTry {
 		a.backTry, a.backUs = a.tries, t.now
 	}
@@ -68,7 +68,7 @@
 	t.choose(a)
 }
 
-func (t *Table) placePrimary(a *ask) {
+func (t *Table) placePrimary(a *request) {
 	p := t.primary(a.g)
 	if p == nil {
 		t.await(a)
@@ -87,8 +87,8 @@
 }
 
 // choose is Refresco's choice among the copies (docs/refresco.md): the least sum
-// of burden, average run, wait for the level it needs, and crossing.
-func (t *Table) choose(a *ask) {
+// of load, average run, wait for the level it needs, and crossing.
+func (t *Table) choose(a *request) {
 	g := a.g
 	thr := a.route.StaleUs - t.o.MarginUs
 	if !g.q.Known() || thr <= 0 {
@@ -160,16 +160,16 @@
 }
 
 // takes says that a follower may be given something new.
-func (t *Table) takes(in *instance, a *ask) bool {
+func (t *Table) takes(in *instance, a *request) bool {
 	return !in.Leaving && !in.wrong && in.failing == 0 && !slices.Contains(a.tried, in.ID) &&
 		(t.now >= in.backoff || len(in.idle) > 0)
 }
 
-// await has an ask wait for a primary or a lease.
-func (t *Table) await(a *ask) {
+// await has a request wait for a primary or a lease.
+func (t *Table) await(a *request) {
 	l := t.limit(a)
 	if l <= t.now {
-		t.bounce(a)
+		t.refuse(a)
 		return
 	}
 	t.waiting++
@@ -178,13 +178,13 @@
 	t.arm(&a.due, l)
 }
 
-// join has an ask wait in an instance's line, unless that is too long for it.
-func (t *Table) join(a *ask, in *instance) {
+// join has a request wait in an instance's line, unless that is too long for it.
+func (t *Table) join(a *request, in *instance) {
 	if !a.goesOn() {
 		est := t.estimate(a, in)
 		if in.line.len() >= t.o.Line || est > 0 && t.now+est > a.aim && t.now < a.aim {
 			a.hint = est
-			t.bounce(a)
+			t.refuse(a)
 			return
 		}
 	}
@@ -192,12 +192,12 @@
 	a.in = in
 	in.line.push(a)
 	in.ranks[rankOf(a)]++
-	t.arm(&a.due, max(min(t.limit(a), a.expiry), t.now+1))
+	t.arm(&a.due, max(min(t.limit(a), a.deadline), t.now+1))
 	in.dirtyIn(t)
 }
 
-// estimate is how long the line before an ask takes.
-func (t *Table) estimate(a *ask, in *instance) int64 {
+// estimate is how long the line before a request takes.
+func (t *Table) estimate(a *request, in *instance) int64 {
 	n := in.running - in.stuck
 	for r := range rankOf(a) + 1 {
 		n += in.ranks[r]
@@ -208,11 +208,11 @@
 	return int64(float64(n) * float64(t.runOf(in, a.runIndex())) / max(in.slots, 1))
 }
 
-// limit is until when an ask may be held where it is. While no database can
+// limit is until when a request may be held where it is. While no database can
 // take it that is a short time; while a change of primary is expected to end
 // within its aim, until a little past that; in the line of a database that
 // works, its aim.
-func (t *Table) limit(a *ask) int64 {
+func (t *Table) limit(a *request) int64 {
 	quarter := a.atUs + min(a.aimUs/4, t.o.WaitUs)
 	if a.tries > 0 {
 		quarter = max(quarter, a.backUs+t.o.WaitUs)
@@ -225,18 +225,18 @@
 			l = max(l, min(a.aim, end+(end-since)/4))
 		}
 	}
-	return min(l, a.expiry-(a.expiry-a.atUs)/10)
+	return min(l, a.deadline-(a.deadline-a.atUs)/10)
 }
 
-// bounce ends an ask that no database runs, with what a database said of it or
+// refuse ends a request that no database runs, with what a database said of it or
 // with the moment to come back at.
-func (t *Table) bounce(a *ask) {
-	if b := a.bounced; b != nil && b.Code != ports.Busy {
+func (t *Table) refuse(a *request) {
+	if b := a.refused; b != nil && b.Code != ports.Busy {
 		t.end(a, ports.Reply{Code: b.Code, Text: b.Text, Body: b.Body})
 		return
 	}
 	t.counts.Held++
-	t.bouncedFor(a)
+	t.countRefusal(a)
 	us := a.hint
 	if since, ok := t.changing(a.g); ok {
 		us = max(us, t.changeEnds(a.g, since)-t.now)
@@ -245,8 +245,8 @@
 	t.end(a, ports.Reply{Code: ports.Busy, Text: "no database can take it now; retry after " + strconv.FormatInt(ms, 10) + " ms"})
 }
 
-// overdue is called when an ask's moment has come.
-func (t *Table) overdue(a *ask) {
+// overdue is called when a request's moment has come.
+func (t *Table) overdue(a *request) {
 	if a.conn != nil {
 		t.overran(a)
 		return
@@ -264,11 +264,11 @@
 		t.arm(&a.due, l)
 		return
 	}
-	t.bounce(a)
+	t.refuse(a)
 }
 
-// bouncedFor counts why nodes' own bounces come about, and says it once a second.
-func (t *Table) bouncedFor(a *ask) {
+// countRefusal counts why nodes' own refusals come about, and says it once a second.
+func (t *Table) countRefusal(a *request) {
 	why := "its line is too long"
 	switch p := t.primary(a.g); {
 	case a.hint > 0:
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -94,7 +94,7 @@
 	prepared map[string]*shape
 	state    ports.State
 	tx       *tx
-	ask      *ask           // under way
+	request  *request       // under way
 	floor    ports.Position // of its newest acknowledged commit
 	floorOf  *group
 	gone     bool // nobody waits for replies
@@ -117,8 +117,8 @@
 	over     bool // it can never commit; the next statement is told so
 }
 
-// ask is a statement on its way.
-type ask struct {
+// request is a statement on its way.
+type request struct {
 	s      *session
 	st     ports.Statement
 	tx     *tx
@@ -128,34 +128,34 @@
 	write  bool // a write outside or inside a transaction
 	commit bool
 
-	seq     uint64
-	atUs    int64
-	expiry  int64
-	aimUs   int64
-	aim     int64
-	place   int       // in the line of in, or of its group where in is nil
-	in      *instance // whose line it waits in, or that runs it
-	conn    *conn     // that runs it
-	sentUs  int64
-	term    uint64 // of the view it was sent under
-	need    ports.Position
-	later   bool // waits for its copy to catch up
-	tries   int
-	backTry int   // the try that it was last placed anew after
-	backUs  int64 // and when
-	tried   []string
-	bounced *ports.Answer // the newest that says it was not run
-	hint    int64         // when to come back, of the newest estimate
-	due     timer
-	unsure  *unsure
-	left    bool // the statement itself was sent, not only its beginning
+	seq      uint64
+	atUs     int64
+	deadline int64
+	aimUs    int64
+	aim      int64
+	place    int       // in the line of in, or of its group where in is nil
+	in       *instance // whose line it waits in, or that runs it
+	conn     *conn     // that runs it
+	sentUs   int64
+	term     uint64 // of the view it was sent under
+	need     ports.Position
+	later    bool // waits for its copy to catch up
+	tries    int
+	backTry  int   // the try that it was last placed anew after
+	backUs   int64 // and when
+	tried    []string
+	refused  *ports.Answer // the newest that says it was not run
+	hint     int64         // when to come back, of the newest estimate
+	due      timer
+	unsure   *unsure
+	left     bool // the statement itself was sent, not only its beginning
 }
 
-// goesOn says that the ask's transaction holds a connection.
-func (a *ask) goesOn() bool { return a.tx != nil && a.tx.conn != nil }
+// goesOn says that the request's transaction holds a connection.
+func (a *request) goesOn() bool { return a.tx != nil && a.tx.conn != nil }
 
 // atPrimary says that only the primary will do.
-func (a *ask) atPrimary() bool {
+func (a *request) atPrimary() bool {
 	if a.tx != nil {
 		return !a.tx.readOnly || a.route.Kind == ports.Current
 	}
@@ -164,7 +164,7 @@
 
 // arrival is the moment a read's freshness counts from: its transaction's, if
 // there is one.
-func (a *ask) arrival() int64 {
+func (a *request) arrival() int64 {
 	if a.tx != nil {
 		return a.tx.atUs
 	}
@@ -172,15 +172,15 @@
 }
 
 // floor is the newest commit that the session must see on its route.
-func (a *ask) floor() ports.Position {
+func (a *request) floor() ports.Position {
 	if a.route.Kind != ports.Pinned || a.s.floorOf != a.g {
 		return ports.Position{}
 	}
 	return a.s.floor
 }
 
-// from is the moment whose acknowledged commits the ask has to see, all of them.
-func (a *ask) from(margin int64) int64 {
+// from is the moment whose acknowledged commits the request has to see, all of them.
+func (a *request) from(margin int64) int64 {
 	at := a.arrival()
 	if a.route.Kind != ports.Current {
 		at -= max(a.route.StaleUs-margin, 0)
@@ -189,10 +189,10 @@
 }
 
 // reads says that it, or its transaction, may read, so that it needs a lease.
-func (a *ask) reads() bool { return a.tx != nil || !a.write }
+func (a *request) reads() bool { return a.tx != nil || !a.write }
 
 // mayKeep says that after sending it something may be kept.
-func (a *ask) mayKeep() bool { return a.commit && a.tx.wrote || a.tx == nil && a.write }
+func (a *request) mayKeep() bool { return a.commit && a.tx.wrote || a.tx == nil && a.write }
 
 func (t *Table) opened(e Opened) {
 	r := ports.Reply{State: ports.Idle}
@@ -218,7 +218,7 @@
 	s.gone = true
 	t.disarm(&s.rest)
 	delete(t.sess, s.id)
-	if s.tx != nil && s.ask == nil {
+	if s.tx != nil && s.request == nil {
 		t.endTx(s)
 	}
 }
@@ -228,7 +228,7 @@
 	if s == nil {
 		return
 	}
-	if a := s.ask; a != nil && a.conn == nil {
+	if a := s.request; a != nil && a.conn == nil {
 		s.gone = true // nobody hears it
 		t.end(a, ports.Reply{Code: ports.Busy})
 	}
@@ -285,7 +285,7 @@
 
 // rested ends a transaction that rested for too long.
 func (t *Table) rested(s *session) {
-	if s.tx == nil || s.ask != nil || s.tx.over {
+	if s.tx == nil || s.request != nil || s.tx.over {
 		return
 	}
 	t.release(s.tx)
@@ -294,7 +294,7 @@
 
 func (t *Table) asked(e Asked) {
 	s := t.sess[e.Session]
-	if s == nil || s.ask != nil {
+	if s == nil || s.request != nil {
 		return
 	}
 	t.disarm(&s.rest)
@@ -355,18 +355,18 @@
 			t.local(s, ports.Malformed, "no transaction is open")
 			return
 		}
-		t.run(s, &ask{st: st, commit: true}, rt)
+		t.run(s, &request{st: st, commit: true}, rt)
 	case ports.Read:
-		t.run(s, &ask{st: st}, rt)
+		t.run(s, &request{st: st}, rt)
 	case ports.Write:
-		t.run(s, &ask{st: st, write: true}, rt)
+		t.run(s, &request{st: st, write: true}, rt)
 	case ports.Run:
 		p := s.prepared[st.Name]
 		if p == nil {
 			t.local(s, ports.NoStatement, "no such prepared name")
 			return
 		}
-		t.run(s, &ask{st: st, shape: p, write: p.writes}, rt)
+		t.run(s, &request{st: st, shape: p, write: p.writes}, rt)
 	case ports.Bad:
 		t.local(s, ports.Malformed, st.Text)
 	default:
@@ -392,16 +392,16 @@
 }
 
 // run sets a statement on its way to a database.
-func (t *Table) run(s *session, a *ask, rt *ports.Route) {
+func (t *Table) run(s *session, a *request, rt *ports.Route) {
 	t.seq++
 	a.s, a.tx, a.route, a.seq, a.atUs = s, s.tx, rt, t.seq, t.now
 	a.aimUs = rt.AimUs
 	if a.aimUs <= 0 {
 		a.aimUs = rt.ExpiryUs / 4
 	}
-	a.expiry, a.aim = t.now+rt.ExpiryUs, t.now+a.aimUs
+	a.deadline, a.aim = t.now+rt.ExpiryUs, t.now+a.aimUs
 	a.due.owner = a
-	s.ask = a
+	s.request = a
 	if x := s.tx; x != nil {
 		a.g = x.g
 		a.aim -= min(x.spent, a.aimUs)
@@ -418,14 +418,14 @@
 	t.place(a)
 }
 
-// end replies to an ask and settles its session and transaction. The ask runs
+// end replies to a request and settles its session and transaction. The request runs
 // nowhere any more, or its connection was dropped.
-func (t *Table) end(a *ask, r ports.Reply) {
+func (t *Table) end(a *request, r ports.Reply) {
 	a.unsure = nil
 	t.unplace(a)
 	t.disarm(&a.due)
 	s, x := a.s, a.tx
-	s.ask = nil
+	s.request = nil
 	switch {
 	case x == nil:
 		r.State = ports.Idle
--- a/sessiontable/table.go
+++ b/sessiontable/table.go
@@ -86,7 +86,7 @@
 type Counts struct {
 	Ended    [ports.Unknown + 1]int64 // statements by code
 	Local    int64                    // statements that no database saw
-	Held     int64                    // bounced by this node
+	Held     int64                    // refused by this node
 	Again    int64                    // sent once more, or elsewhere
 	Connects int64
 	Resets   int64
@@ -136,7 +136,7 @@
 	counts  Counts
 	copies  []freshness.Copy // scratch
 
-	held   map[string]int // bounces since heldUs, by cause
+	held   map[string]int // refusals since heldUs, by cause
 	heldUs int64
 
 	stopping bool
@@ -210,7 +210,7 @@
 
 func (t *Table) fire(owner any) {
 	switch o := owner.(type) {
-	case *ask:
+	case *request:
 		t.overdue(o)
 	case *session:
 		t.rested(o)
@@ -301,7 +301,7 @@
 	}
 	t.stopping, t.stopUs, t.graceUs = true, t.now, e.GraceUs
 	for _, id := range slices.Sorted(maps.Keys(t.sess)) {
-		if s := t.sess[id]; s.ask == nil && s.state == ports.Idle {
+		if s := t.sess[id]; s.request == nil && s.state == ports.Idle {
 			t.shut(s)
 		}
 	}
@@ -318,7 +318,7 @@
 	for _, id := range slices.Sorted(maps.Keys(t.sess)) {
 		s := t.sess[id]
 		switch {
-		case s.ask != nil:
+		case s.request != nil:
 		case last:
 			t.shut(s)
 		case s.tx != nil:
