A recorded call is sent once: a redirection is its answer

Cause: as with operators' calls, net/http sent a recorded write again where a 307 pointed. Before: TestARecordedCallIsSentOnce counts 10 calls for one entry.

--- a/replay/replay.go
+++ b/replay/replay.go
@@ -114,7 +114,7 @@
 // opened get the ids they have now.
 func Send(ctx context.Context, clock clockwork.Clock, node string, es []Entry, speed float64) []Outcome {
 	ids := map[string]string{}
-	c := &http.Client{Timeout: 70 * time.Second}
+	c := &http.Client{Timeout: 70 * time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	var os []Outcome
 	began := clock.Now()
 	for _, e := range es {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -90,3 +90,21 @@
 		}
 	})
 }
+
+// TestARecordedCallIsSentOnce: a redirection is its answer.
+func TestARecordedCallIsSentOnce(t *testing.T) {
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer s.Close()
+	es, err := Read(file(t, rec("2026-11-30T08:00:01.000Z", "POST", "/v1/sessions/old/queries", `{"class":"lookup"}`, `{}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	os := Send(context.Background(), clockwork.NewRealClock(), strings.TrimPrefix(s.URL, "http://"), es, 0)
+	if calls != 1 || len(os) != 1 || os[0].Status != http.StatusTemporaryRedirect {
+		t.Errorf("%d calls, %+v", calls, os)
+	}
+}
