--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -95,7 +95,7 @@
 // process used. Until it knows a membership it asks the contacts for one.
 func NewProposer(self, run string, contacts []string) *Proposer {
 	name := self + "#" + run
-	return &Proposer{self: self, name: name, number: step.Hash(name), contacts: slices.Clone(contacts), busy: map[string]*attempt{}, queue: map[string][]Change{}}
+	return &Proposer{self: self, name: name, number: step.FirstNumber("attempt", self, run), contacts: slices.Clone(contacts), busy: map[string]*attempt{}, queue: map[string][]Change{}}
 }
 
 // SetMembership takes a newer membership; what was under way begins anew under it.
