--- /dev/null
+++ b/tools/check-lint/main.go
@@ -0,0 +1,159 @@
+// Command check-lint runs the linters that go.mod pins (staticcheck and revive,
+// with the rules in staticcheck.conf and revive.toml) over all packages and exits
+// with 1 if they find more than left.txt still allows, or less than it says.
+//
+//	go run ./tools/check-lint [-shrink | -begin]
+//
+// With -shrink it first lowers left.txt to what was found; -begin writes it, if no
+// commit has it yet.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"stoneford/tools/shrinking"
+)
+
+const (
+	listFile = "tools/check-lint/left.txt"
+	heading  = "What the linters still find in files from before them (go run ./tools/check-lint -shrink)."
+)
+
+// finding is one line of a linter.
+type finding struct {
+	rule, file string
+	line       int
+	text       string
+}
+
+func main() {
+	mode, err := shrinking.Flags(os.Args[1:])
+	if err == nil {
+		err = run(mode, os.Stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "check-lint:", err)
+		os.Exit(1)
+	}
+}
+
+func run(mode shrinking.Mode, out io.Writer) error {
+	findings, err := lint("./...")
+	if err != nil {
+		return err
+	}
+	found := map[shrinking.Key]int{}
+	for _, f := range findings {
+		found[shrinking.Key{Rule: f.rule, File: f.file}]++
+	}
+	if err := shrinking.Check(listFile, heading, found, mode); err != nil {
+		list, listErr := shrinking.Read(listFile)
+		for _, f := range findings {
+			key := shrinking.Key{Rule: f.rule, File: f.file}
+			if listErr == nil && found[key] > list[key].Count {
+				fmt.Fprintf(out, "%s:%d: %s: %s\n", f.file, f.line, f.rule, f.text)
+			}
+		}
+		return err
+	}
+	list, err := shrinking.Read(listFile)
+	if err != nil {
+		return err
+	}
+	left, files := shrinking.Total(list)
+	fmt.Fprintf(out, "check-lint: clean, but for %d findings left in %d files\n", left, files)
+	return nil
+}
+
+// lint runs both linters over packages of the module in the working folder.
+func lint(packages string) ([]finding, error) {
+	checked, err := linter("staticcheck", readStaticcheck, "-f", "json", packages)
+	if err != nil {
+		return nil, err
+	}
+	reviewed, err := linter("revive", readRevive, "-config", "revive.toml", "-formatter", "json", packages)
+	return append(checked, reviewed...), err
+}
+
+// linter runs one of them. That it found something is no error.
+func linter(name string, read func([]byte) ([]finding, error), args ...string) ([]finding, error) {
+	var stdout, stderr bytes.Buffer
+	c := exec.Command("go", append([]string{"tool", name}, args...)...)
+	c.Stdout, c.Stderr = &stdout, &stderr
+	err := c.Run()
+	findings, readErr := read(stdout.Bytes())
+	if readErr != nil || err != nil && len(findings) == 0 {
+		return nil, fmt.Errorf("%s: %w: %s", name, errors.Join(err, readErr), stderr.String())
+	}
+	return findings, nil
+}
+
+// readStaticcheck reads one JSON object a line.
+func readStaticcheck(text []byte) ([]finding, error) {
+	var out []finding
+	for d := json.NewDecoder(bytes.NewReader(text)); ; {
+		var line struct {
+			Code, Message string
+			Location      struct {
+				File string
+				Line int
+			}
+		}
+		if err := d.Decode(&line); errors.Is(err, io.EOF) {
+			return out, nil
+		} else if err != nil {
+			return nil, err
+		}
+		file, err := relative(line.Location.File)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, finding{line.Code, file, line.Location.Line, line.Message})
+	}
+}
+
+// readRevive reads one JSON array.
+func readRevive(text []byte) ([]finding, error) {
+	var lines []struct {
+		RuleName, Failure string
+		Position          struct {
+			Start struct {
+				Filename string
+				Line     int
+			}
+		}
+	}
+	if err := json.Unmarshal(text, &lines); err != nil {
+		return nil, err
+	}
+	var out []finding
+	for _, line := range lines {
+		file, err := relative(line.Position.Start.Filename)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, finding{line.RuleName, file, line.Position.Start.Line, line.Failure})
+	}
+	return out, nil
+}
+
+// relative is a file's path from the module's root, where the command runs.
+func relative(file string) (string, error) {
+	if filepath.IsAbs(file) {
+		root, err := os.Getwd()
+		if err != nil {
+			return "", err
+		}
+		if file, err = filepath.Rel(root, file); err != nil {
+			return "", err
+		}
+	}
+	return filepath.ToSlash(filepath.Clean(file)), nil
+}
--- /dev/null
+++ b/tools/check-names/main_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestPlantedWordsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		file, text string
+		found      int
+	}{
+		{"pool/a.go", "package pool\n\nvar permit int\n", 1},
+		{"pool/a.go", "package pool\n\nfunc f() { neighbours, x := 1, 2; _, _ = neighbours, x }\n", 1},
+		{"pool/a.go", "package pool\n\ntype Expiry struct{ Bounced, PermitExpiries int }\n", 4},
+		{"pool/a.go", "package pool\n\nfunc (t T) bouncing(burden int) (expiry int) { return }\n", 3},
+		{"pool/a.go", "package pool\n\nfunc f() { for permit, neighbour := range m { _, _ = permit, neighbour } }\n", 2},
+		{"pool/a.go", "package pool\n\ntype i interface{ Unbounced(); TheBounce() }\n", 1},
+		{"pool/a.go", "package pool\n\nimport bootfile \"settings\"\n", 1},
+		{"permits/a.go", "package permits\n", 1},
+		{"ports/a_test.go", "package ports\n\nconst StatusBOUNCED = 1\n", 1},
+		{"schema/messages.proto", "message Permit {\n  int64 expiry_us = 1; // a permit's expiry\n}\n", 2},
+		// No identifier, or the standard terms:
+		{"pool/a.go", "package pool\n\n// A permit bounces.\nvar lease = \"burden\"\n", 0},
+		{"pool/a.go", "package pool\n\nvar deadline, peer, load, refused, settings, expire, allow, query, Bootstrap int\n", 0},
+		{"schema/a.pb.go", "package schema\n\nvar permit int\n", 0},
+		{"docs/design.md", "A permit.\n", -1},
+	} {
+		t.Chdir(t.TempDir())
+		if err := os.MkdirAll(filepath.Dir(c.file), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(c.file, []byte(c.text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		k := newChecker()
+		err := k.look()
+		n := 0
+		for key, count := range k.found {
+			if n += count; key.File != c.file {
+				t.Errorf("%s: found in %s", c.file, key.File)
+			}
+		}
+		if wantErr := c.found < 0 || c.file == "schema/a.pb.go"; (err != nil) != wantErr || n != max(c.found, 0) {
+			t.Errorf("%s, %q: %d found, not %d: %v", c.file, c.text, n, c.found, err)
+		}
+	}
+}
+
+func TestNothingToLookAtIsSaid(t *testing.T) {
+	t.Chdir(t.TempDir())
+	if newChecker().look() == nil {
+		t.Error("an empty folder passed")
+	}
+}
