Linters' smaller findings mended outside the control side

Ruled out: takeover.Well keeps its unused parameter, unnamed, while its caller in control is being worked on. Findings in the folders that others work on stay listed.

Change: unused fields and parameters out, a doc comment for each exported name, receivers named alike. Truth.leavingAcked, which did nothing, is gone. Tests changed with the signatures alone; none checks less. Behaviour is unchanged.

--- a/bookings/bookings.go
+++ b/bookings/bookings.go
@@ -38,7 +38,7 @@
 const (
 	// LengthUs is the time on the calendar that a move takes up.
 	LengthUs = 10 * 60_000_000
-	// MissAfterUs: a move that could not begin within this time of its own is
+	// MissAfterUs is how much later than booked a move may begin; after that it is
 	// missed, and has to be booked anew.
 	MissAfterUs = 15 * 60_000_000
 	// keepUs is how long ended bookings stay to be read.
--- a/fleetsimulation/callers.go
+++ b/fleetsimulation/callers.go
@@ -37,7 +37,6 @@
 	prepared map[string]shape
 	ask      *asking
 	floor    *entry
-	fresh    bool // nothing was asked on it yet
 }
 
 type asking struct {
@@ -459,7 +458,7 @@
 }
 
 // replied brings a reply of the node's to the caller.
-func (s *Session) replied(r ports.Reply, close bool) {
+func (s *Session) replied(r ports.Reply, closed bool) {
 	f := s.f
 	if a := s.ask; a != nil && a.atUs > 0 && len(r.Body) == 0 && r.Code.Promise() {
 		held := f.Now - a.atUs
@@ -474,7 +473,7 @@
 		}
 		s.state = r.State
 		a := s.ask
-		if close {
+		if closed {
 			s.open = false
 		}
 		if a == nil {
--- a/fleetsimulation/databases.go
+++ b/fleetsimulation/databases.go
@@ -35,7 +35,6 @@
 	busy   int // slots in use
 	line   []job
 	conns  []*dbConn
-	lives  int
 
 	primary bool
 	term    uint64
@@ -272,44 +271,44 @@
 }
 
 // receive takes a primary's log; false says that it does not.
-func (o *DB) receive(log []*entry, term uint64) bool {
-	if o.primary || term < o.term || o.deaf || o.held > 0 && o.f.Plan.Plant != HoldIgnored {
+func (d *DB) receive(log []*entry, term uint64) bool {
+	if d.primary || term < d.term || d.deaf || d.held > 0 && d.f.Plan.Plant != HoldIgnored {
 		return false
 	}
-	o.term = term
-	n := min(len(o.log), len(log))
-	if n > 0 && o.log[n-1] != log[n-1] {
-		for n > 0 && o.log[n-1] != log[n-1] {
+	d.term = term
+	n := min(len(d.log), len(log))
+	if n > 0 && d.log[n-1] != log[n-1] {
+		for n > 0 && d.log[n-1] != log[n-1] {
 			n--
 		}
 	}
-	if n < len(o.log) {
-		if n == len(log) && o.log[n].at.Term == term {
+	if n < len(d.log) {
+		if n == len(log) && d.log[n].at.Term == term {
 			return true // an older offer of the same log
 		}
-		o.truncate(n)
+		d.truncate(n)
 	}
-	if len(log) > len(o.log) {
-		o.log = append(o.log[:len(o.log):len(o.log)], log[len(o.log):]...)
-		o.applyLater(len(o.log))
+	if len(log) > len(d.log) {
+		d.log = append(d.log[:len(d.log):len(d.log)], log[len(d.log):]...)
+		d.applyLater(len(d.log))
 	}
 	return true
 }
 
-func (o *DB) truncate(n int) {
-	o.f.say("%s is cut back from %v to %d", o.id, o.at(len(o.log)), n)
-	o.log = slices.Clone(o.log[:n])
-	o.applied = min(o.applied, n)
-	o.cutBack = o.f.Now + o.f.Between(100_000, 500_000)
-	o.later(o.cutBack-o.f.Now, o.pump)
+func (d *DB) truncate(n int) {
+	d.f.say("%s is cut back from %v to %d", d.id, d.at(len(d.log)), n)
+	d.log = slices.Clone(d.log[:n])
+	d.applied = min(d.applied, n)
+	d.cutBack = d.f.Now + d.f.Between(100_000, 500_000)
+	d.later(d.cutBack-d.f.Now, d.pump)
 }
 
-func (o *DB) applyLater(n int) {
-	want := o.log[n-1]
-	us := int64(float64(o.f.Between(5_000, 40_000)) * o.lag)
-	o.later(us, func() {
-		if n <= len(o.log) && o.log[n-1] == want {
-			o.applied = max(o.applied, n)
+func (d *DB) applyLater(n int) {
+	want := d.log[n-1]
+	us := int64(float64(d.f.Between(5_000, 40_000)) * d.lag)
+	d.later(us, func() {
+		if n <= len(d.log) && d.log[n-1] == want {
+			d.applied = max(d.applied, n)
 		}
 	})
 }
@@ -397,7 +396,6 @@
 type dbConn struct {
 	d        *DB
 	s        *stream // nil: of a control process
-	who      string
 	open     bool
 	vals     map[string]string
 	prepared map[string]shape
@@ -800,7 +798,6 @@
 		case ok:
 			if leaving && d.ackedUs == 0 {
 				d.ackedUs = f.Now
-				f.truth.leavingAcked(d)
 			}
 			d.calling = false
 			if d.again {
--- a/fleetsimulation/truth.go
+++ b/fleetsimulation/truth.go
@@ -39,7 +39,6 @@
 
 	results [][]byte
 	commits []*entry
-	conn    *dbConn
 	left    bool // some node sent it to a database
 
 	leftUs    int64 // when, and by which routing table's register revision
@@ -225,7 +224,7 @@
 	}
 }
 
-func (t *Truth) promotionAsked(c *Control, d *DB) {}
+func (t *Truth) promotionAsked(*Control, *DB) {}
 
 // ended is called when a caller hears the end of a statement.
 func (t *Truth) ended(st *Statement, r ports.Reply) {
@@ -296,8 +295,6 @@
 	}
 }
 
-func (t *Truth) leavingAcked(d *DB) {}
-
 // settled says whether the control processes are calm.
 func (t *Truth) settled() bool { return t.f.Now-t.coreUs > contactUs }
 
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -29,6 +29,7 @@
 // Measure is one of the three ways to say how stale an atom is.
 type Measure int
 
+// The measures.
 const (
 	Order Measure = iota // pending entries
 	Age                  // microseconds since the oldest pending commit
--- a/permits/permits.go
+++ b/permits/permits.go
@@ -179,7 +179,7 @@
 
 // Give takes a return; one to an earlier ask is void. It says whether the
 // permit changed.
-func (a *Asker) Give(now int64, g *schema.PermitGive) bool {
+func (a *Asker) Give(g *schema.PermitGive) bool {
 	if g.Number != a.number || g.Group != a.group {
 		return false
 	}
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -27,15 +27,15 @@
 		h := NewHolder(0, true)
 		hRate := 1.0
 		var ns []*node
-		add := func(now int64) {
+		add := func() {
 			ns = append(ns, &node{a: NewAsker("g", uint64(len(ns)+1)), rate: 0.96 + 0.08*r.Float64(), offset: r.Int64N(1 << 40)})
 		}
-		add(0)
+		add()
 		clock := func(n *node, now int64) int64 { return int64(float64(now)*n.rate) + n.offset }
 		for now := int64(1); now < 60_000_000; now += 50_000 {
 			switch {
 			case len(ns) < 8 && r.IntN(60) == 0:
-				add(now)
+				add()
 			case r.IntN(80) == 0:
 				ns[r.IntN(len(ns))].silent = now + r.Int64N(12_000_000)
 			case r.IntN(400) == 0:
@@ -68,12 +68,12 @@
 				g := h.Ask(int64(float64(now)*hRate), fmt.Sprint(i), a, map[string]int32{"db": limit}, true)
 				switch {
 				case r.IntN(8) > 0:
-					n.a.Give(own, g)
+					n.a.Give(g)
 				case r.IntN(2) == 0:
 					n.late = g // it comes with the next
 				}
 				if n.late != nil && n.late != g {
-					n.a.Give(own, n.late)
+					n.a.Give(n.late)
 					n.late = nil
 				}
 			}
@@ -99,15 +99,15 @@
 	h := NewHolder(0, true)
 	a, b := NewAsker("stock", 1), NewAsker("stock", 2)
 	limits := map[string]int32{"stock-a": 10}
-	a.Give(0, h.Ask(0, "a", a.Tick(0, nil), limits, true))
+	a.Give(h.Ask(0, "a", a.Tick(0, nil), limits, true))
 	fmt.Println(a.Cap(1, "stock-a")) // alone
-	b.Give(10, h.Ask(10, "b", b.Tick(10, nil), limits, true))
+	b.Give(h.Ask(10, "b", b.Tick(10, nil), limits, true))
 	fmt.Println(b.Cap(11, "stock-a")) // a upholds all of it yet
 	now := int64(AskEvery)
-	a.Give(now, h.Ask(now, "a", a.Tick(now, nil), limits, true)) // shrinks
+	a.Give(h.Ask(now, "a", a.Tick(now, nil), limits, true)) // shrinks
 	now += AskEvery
-	a.Give(now, h.Ask(now, "a", a.Tick(now, nil), limits, true)) // confirms
-	b.Give(now, h.Ask(now, "b", b.Tick(now, nil), limits, true))
+	a.Give(h.Ask(now, "a", a.Tick(now, nil), limits, true)) // confirms
+	b.Give(h.Ask(now, "b", b.Tick(now, nil), limits, true))
 	fmt.Println(a.Cap(now, "stock-a"), b.Cap(now, "stock-a"))
 	// Output:
 	// 10
--- a/pool/callers.go
+++ b/pool/callers.go
@@ -211,7 +211,7 @@
 }
 
 // ready says whether the platform may hand this node connections.
-func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
 	gs := *p.groups.Load()
 	ok := len(gs) > 0 && !p.stopping.Load()
 	waiting := []string{}
@@ -229,7 +229,7 @@
 	json.NewEncoder(w).Encode(map[string]any{"ready": ok, "stopping": p.stopping.Load(), "waiting_for": waiting})
 }
 
-func (p *Process) counts(w http.ResponseWriter, r *http.Request) {
+func (p *Process) counts(w http.ResponseWriter, _ *http.Request) {
 	gs := map[string]*tableView{}
 	for k, g := range *p.groups.Load() {
 		gs[k] = g.counts.Load()
--- a/pool/core.go
+++ b/pool/core.go
@@ -185,7 +185,7 @@
 		}
 	case *schema.Envelope_PermitGive:
 		if g := c.groups[b.PermitGive.Group]; g != nil {
-			g.asker.Give(now, b.PermitGive)
+			g.asker.Give(b.PermitGive)
 			c.nextGrp = 0
 		}
 	}
--- a/pool/process.go
+++ b/pool/process.go
@@ -47,7 +47,6 @@
 	node   *loop.Loop
 	links  *links.Links
 	dbs    *databaseclient.Client
-	mu     sync.Mutex
 	tables map[string]*runner
 	// routes and tables are read on a query's path and replaced whole.
 	routes   atomic.Pointer[map[string]Route]
--- a/querytable/hygiene_test.go
+++ b/querytable/hygiene_test.go
@@ -24,7 +24,7 @@
 	inTx             bool
 	busy             uint64 // query or change under way
 	change           *Change
-	begin, ends      bool
+	ends             bool
 }
 
 // hygiene drives a table alone against a model of one database group.
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -167,19 +167,19 @@
 			if p.rec > 0 {
 				p.app = 0
 			}
-			m.long = t.poll(now, w, p, pollWait)
+			m.long = t.poll(w, p, pollWait)
 		}
 		// A long poll that waits for a settling query's position, begun late
 		// enough, is all the evidence that query needs of this member.
 		covered := rec[w.Name] > 0 && m.long != 0 && t.polls[m.long].start >= since[w.Name]
 		if m.quick == 0 && (now >= m.next || since[w.Name] > m.start && !hold && !covered) {
-			m.quick = t.poll(now, w, poll{member: w.Name, start: now}, 0)
+			m.quick = t.poll(w, poll{member: w.Name, start: now}, 0)
 			m.next = now + pollEvery
 		}
 	}
 }
 
-func (t *Table) poll(now int64, w Member, p poll, wait int64) uint64 {
+func (t *Table) poll(w Member, p poll, wait int64) uint64 {
 	id := t.id()
 	t.polls[id] = p
 	t.counts.Polls++
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -53,9 +53,9 @@
 }
 
 // again places a read once more, on another copy where one is left.
-func (t *Table) again(now int64, q *query, close bool) {
+func (t *Table) again(now int64, q *query, closeConn bool) {
 	if c := t.conns[q.conn]; c != nil {
-		if close {
+		if closeConn {
 			t.closeConn(c)
 		} else {
 			t.release(now, c)
@@ -158,8 +158,8 @@
 )
 
 // decide keeps a choice for whoever asks why.
-func (t *Table) decide(now int64, q *query, copy, reason string, floor int64, cs []freshness.Copy) {
-	d := Decision{Name: q.Name, Class: q.class.Name, AtUs: now, Copy: copy, Reason: reason, Floor: floor, Copies: cs}
+func (t *Table) decide(now int64, q *query, chosen, reason string, floor int64, cs []freshness.Copy) {
+	d := Decision{Name: q.Name, Class: q.class.Name, AtUs: now, Copy: chosen, Reason: reason, Floor: floor, Copies: cs}
 	if len(t.decided) < keptChoices {
 		t.decided = append(t.decided, d)
 		return
--- a/relaytree/relaytree_test.go
+++ b/relaytree/relaytree_test.go
@@ -68,7 +68,7 @@
 		views := func() {
 			for _, n := range all {
 				// Each has forgotten some that live and believes in some dead.
-				v := slices.DeleteFunc(slices.Clone(all), func(o string) bool { return r.IntN(12) == 0 })
+				v := slices.DeleteFunc(slices.Clone(all), func(string) bool { return r.IntN(12) == 0 })
 				m[n].Live(v)
 			}
 		}
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -597,7 +597,9 @@
 // newest configurations.
 func (f *Fleet) settle() {
 	end := f.Now + 20_000_000
-	for f.Run(f.Now + 3_000_000); f.Now < end && !f.atRest(); f.Run(f.Now + 500_000) {
+	f.Run(f.Now + 3_000_000)
+	for f.Now < end && !f.atRest() {
+		f.Run(f.Now + 500_000)
 	}
 }
 
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -83,30 +83,39 @@
 	})
 }
 
-// PauseNode freezes a pool node, ResumeNode lets it go on.
-func (f *Fleet) PauseNode(i int)  { f.Nodes[i].paused = true }
+// PauseNode freezes a pool node.
+func (f *Fleet) PauseNode(i int) { f.Nodes[i].paused = true }
+
+// ResumeNode lets a frozen pool node go on.
 func (f *Fleet) ResumeNode(i int) { f.Nodes[i].resume(f) }
 
-// PauseControl freezes a control process, ResumeControl lets it go on.
-func (f *Fleet) PauseControl(i int)  { f.Controls[i].paused = true }
+// PauseControl freezes a control process.
+func (f *Fleet) PauseControl(i int) { f.Controls[i].paused = true }
+
+// ResumeControl lets a frozen control process go on.
 func (f *Fleet) ResumeControl(i int) { f.Controls[i].resume(f) }
 
-// KillDB ends a database's process; StartDB starts it on its disk; LoseDB
-// starts it on an empty one.
+// KillDB ends a database's process.
 func (f *Fleet) KillDB(n string) {
 	if f.DBs[n].up {
 		f.DBs[n].crash()
 	}
 }
+
+// StartDB starts a database on its disk.
 func (f *Fleet) StartDB(n string) {
 	if !f.DBs[n].up {
 		f.DBs[n].start()
 	}
 }
+
+// LoseDB starts a database on an empty disk.
 func (f *Fleet) LoseDB(n string) { f.KillDB(n); f.DBs[n].fresh(); f.DBs[n].start() }
 
-// PauseDB freezes a database; ResumeDB lets it go on.
+// PauseDB freezes a database.
 func (f *Fleet) PauseDB(n string) { f.DBs[n].paused = true }
+
+// ResumeDB lets a frozen database go on.
 func (f *Fleet) ResumeDB(n string) {
 	d := f.DBs[n]
 	d.paused = false
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -56,6 +56,7 @@
 // checks see it.
 type Plant int
 
+// The plants.
 const (
 	NoPlant           Plant = iota
 	WriteTwice              // some runs are passed on twice
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -110,7 +110,7 @@
 	case "roll":
 		return n, f.roll(ctx, n)
 	case "kill-machine", "wipe-machine", "start-machine":
-		return n, f.machine(ctx, ft)
+		return n, f.machine(ft)
 	}
 	if from, to, ok := strings.Cut(n, ">"); ok {
 		return n, f.cutWay(from, to, ft.Action == "cut-way")
@@ -258,7 +258,7 @@
 }
 
 // machine ends or starts both processes of a disk machine.
-func (f *Fleet) machine(ctx context.Context, ft Fault) error {
+func (f *Fleet) machine(ft Fault) error {
 	for _, n := range []string{"control-" + ft.Target, "pool-" + ft.Target} {
 		p := f.procs[n]
 		switch {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -51,7 +51,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/takeover", s.takeover)
-	m.HandleFunc("GET /v1/nodes", func(w http.ResponseWriter, r *http.Request) {
+	m.HandleFunc("GET /v1/nodes", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		json.NewEncoder(w).Encode(s.ready)
--- a/standin/scale-run/children.go
+++ b/standin/scale-run/children.go
@@ -232,6 +232,7 @@
 	return nil
 }
 
+// HeardArgs names a control process and the moment after which it counts.
 type HeardArgs struct {
 	Control int
 	After   int64
@@ -242,6 +243,7 @@
 	return nil
 }
 
+// WatchArgs names a group and the term to watch it for.
 type WatchArgs struct {
 	Group string
 	Term  uint64
@@ -277,17 +279,20 @@
 // remote asks the run's hollow databases.
 type remote struct{ c *rpc.Client }
 
+// DoArgs is one order to a hollow database.
 type DoArgs struct {
 	ID   string
 	Kind ports.Kind
 	Term uint64
 }
 
+// DoReply is what a hollow database says to it.
 type DoReply struct {
 	Status ports.DatabaseStatus
 	Code   ports.Code
 }
 
+// PromoteArgs names the database that a group is to be led by.
 type PromoteArgs struct{ Group, ID string }
 
 func (r remote) Do(id string, k ports.Kind, term uint64) (ports.DatabaseStatus, ports.Code, error) {
--- a/standin/scale-run/scale/control.go
+++ b/standin/scale-run/scale/control.go
@@ -231,7 +231,7 @@
 }
 
 // call makes an event with an id and waits for its end.
-func call[T any](c *Control, ctx context.Context, build func(id uint64) any) (T, error) {
+func call[T any](ctx context.Context, c *Control, build func(id uint64) any) (T, error) {
 	ch := make(chan T, 1)
 	c.post(func() any {
 		c.ids++
@@ -249,13 +249,13 @@
 
 // Change changes the routing table.
 func (c *Control) Change(ctx context.Context, ch ports.TableChange) (ports.ChangeResult, error) {
-	v, err := call[coordinator.Changed](c, ctx, func(id uint64) any { return coordinator.Change{ID: id, Change: ch} })
+	v, err := call[coordinator.Changed](ctx, c, func(id uint64) any { return coordinator.Change{ID: id, Change: ch} })
 	return v.Result, err
 }
 
 // Fetch reads the table's revision through a majority.
 func (c *Control) Fetch(ctx context.Context) (uint64, bool) {
-	v, err := call[coordinator.Fetched](c, ctx, func(id uint64) any { return coordinator.Fetch{ID: id} })
+	v, err := call[coordinator.Fetched](ctx, c, func(id uint64) any { return coordinator.Fetch{ID: id} })
 	return v.Table.Revision, err == nil && v.OK
 }
 
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -476,7 +476,7 @@
 
 // Well says why the group could not bear the loss of a copy now, "" if it
 // could: all members reply, as agreed, in the open epoch.
-func (g *Group) Well(now int64, st *schema.GroupState) string {
+func (g *Group) Well(_ int64, st *schema.GroupState) string {
 	if st.Phase != schema.Phase_OPEN {
 		return "a takeover is under way"
 	}
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -171,7 +171,7 @@
 	g := newGroup()
 	g.run(2_000_000)
 	g.in.Aside = "c"
-	g.dbs["b"].Received -= 1 // it cannot be done with yet
+	g.dbs["b"].Received-- // it cannot be done with yet
 	g.run(500_000)
 	if g.dbs["c"].Role != "sealed" {
 		t.Fatal("c was not sealed")
