--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -3,111 +3,27 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"stoneford/cleanup"
-	"stoneford/control"
 	"stoneford/databaseclient"
-	"stoneford/operators"
 	"stoneford/result"
 	"stoneford/standin/callers"
-	"stoneford/standin/databasecopy"
 	"stoneford/standin/link"
 	"stoneford/standin/platform"
 )
 
-// Part is what one partner brings.
-type Part struct {
-	Partner     string
-	Groups      []string
-	Zones       []string // its names for the three zones
-	Connections int
-	Classes     [3]string // its names of the current, the stale and the pinned class
-}
-
-// Shape is a deployment's sizes.
-type Shape struct {
-	Parts    []Part
-	Machines int
-	Sessions int
-	Rate     float64
-}
-
-var (
-	pharmacies = Part{Partner: "pharmacies", Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 65, Classes: [3]string{"reserve", "lookup", "pickup"}}
-	lender     = Part{Partner: "lender", Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 80, Classes: [3]string{"disburse", "repayment", "limit"}}
-)
-
-// Shapes are the users' two, both on one pool, and a smaller one.
-var Shapes = map[string]Shape{
-	"pharmacies": {Parts: []Part{pharmacies}, Machines: 11, Sessions: 290, Rate: 450},
-	"lender":     {Parts: []Part{lender}, Machines: 10, Sessions: 290, Rate: 450},
-	"both":       {Parts: []Part{pharmacies, lender}, Machines: 21, Sessions: 580, Rate: 900},
-	"two":        {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}, {Partner: "lender", Groups: []string{"ledger-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: lender.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
-	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
-}
-
-// groups names every group, as PARTNER/GROUP.
-func (s Shape) groups() []string {
-	var gs []string
-	for _, p := range s.Parts {
-		for _, g := range p.Groups {
-			gs = append(gs, p.Partner+"/"+g)
-		}
-	}
-	return gs
-}
-
-// owner is whom a machine belongs to: the partners bring them in turn.
-func (s Shape) owner(machine int) string { return s.Parts[machine%len(s.Parts)].Partner }
-
-// partner is whom a group belongs to; groups of different partners have
-// different names here.
-func (s Shape) partner(group string) string {
-	for _, p := range s.Parts {
-		if slices.Contains(p.Groups, group) {
-			return p.Partner
-		}
-	}
-	return ""
-}
-
-func (s Shape) connections(group string) int {
-	for _, p := range s.Parts {
-		if strings.HasPrefix(group, p.Partner+"/") {
-			return p.Connections
-		}
-	}
-	return 0
-}
-
-// Route is the route that leads to the group of a database, "" for other
-// processes.
-func (s Shape) Route(process string) string {
-	for _, g := range s.groups() {
-		if _, n, _ := strings.Cut(g, "/"); strings.HasPrefix(process, n+"-") {
-			return g
-		}
-	}
-	return ""
-}
-
 // proc is one process of the fleet.
 type proc struct {
 	name   string
@@ -342,26 +258,6 @@
 	return nil
 }
 
-// Configuration is one partner's configuration.
-func (f *Fleet) Configuration(pt Part) map[string]any {
-	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
-	for i, g := range pt.Groups {
-		var ms []string
-		for j := range 3 {
-			n := fmt.Sprintf("%s-%c", g, 'a'+j)
-			ms = append(ms, n)
-			dbs[n] = map[string]any{"address": f.addr[n], "zone": pt.Zones[(i+j)%3], "connections": pt.Connections}
-		}
-		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
-		rs[g] = map[string]any{"group": g, "classes": pt.Classes[:]}
-	}
-	return map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
-		pt.Classes[0]: map[string]any{"kind": "current"},
-		pt.Classes[1]: map[string]any{"kind": "stale", "stale_us": 1_500_000},
-		pt.Classes[2]: map[string]any{"kind": "pinned", "stale_us": 2_500_000},
-	}}
-}
-
 // Burden is what callers of the shape do, so many sessions and queries a second.
 func (f *Fleet) Burden(sessions int, rate float64, seed uint64) callers.Burden {
 	b := callers.Burden{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes,
@@ -488,189 +384,9 @@
 	})
 }
 
-// Until tries f again until it does not fail or the time is over.
-func Until(ctx context.Context, most time.Duration, f func() error) error {
-	end := time.Now().Add(most)
-	for {
-		err := f()
-		if err == nil || time.Now().After(end) {
-			return err
-		}
-		t := time.NewTimer(50 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return errors.Join(err, ctx.Err())
-		case <-t.C:
-		}
-	}
-}
-
-// Operators is a partner's operators' side of the fleet.
-func (f *Fleet) Operators(partner string) operators.Client {
-	return operators.Client{Addresses: f.ops, Token: Token(partner)}
-}
-
-// Nodes are the ready pool nodes, as the platform hands them out.
-func (f *Fleet) Nodes() []string {
-	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + f.plat + "/v1/nodes")
-	if err != nil {
-		return nil
-	}
-	defer r.Body.Close()
-	var ns []string
-	if json.NewDecoder(r.Body).Decode(&ns) != nil {
-		return nil
-	}
-	return ns
-}
-
-// Ready asks a process whether it is ready.
-func (f *Fleet) Ready(ctx context.Context, name string) error {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.procs[name].http+"/v1/ready", nil)
-	if err != nil {
-		return err
-	}
-	r, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return err
-	}
-	defer r.Body.Close()
-	if r.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s is not ready", name)
-	}
-	return nil
-}
-
-// Primary is a group's primary now.
-func (f *Fleet) Primary(ctx context.Context, group string) string {
-	s, err := f.Operators(f.Shape.Parts[0].Partner).Status(ctx)
-	if err != nil {
-		return ""
-	}
-	i := slices.IndexFunc(s.Groups, func(g control.GroupStatus) bool { return g.Name == f.Shape.partner(group)+"/"+group })
-	if i < 0 {
-		return ""
-	}
-	return s.Groups[i].Primary
-}
-
-// Logs reads what each group's primary holds, from the copies themselves: the
-// furthest log in the latest epoch.
-func (f *Fleet) Logs(ctx context.Context) (map[string][]databasecopy.LogEntry, error) {
-	out := map[string][]databasecopy.LogEntry{}
-	for _, k := range f.Shape.groups() {
-		_, g, _ := strings.Cut(k, "/")
-		err := Until(ctx, 20*time.Second, func() error {
-			p := f.Primary(ctx, g)
-			if p == "" {
-				return fmt.Errorf("%s has no primary", g)
-			}
-			r, err := http.Get("http://" + f.procs[p].http + "/truth/log")
-			if err != nil {
-				return err
-			}
-			defer r.Body.Close()
-			b, err := io.ReadAll(r.Body)
-			if err != nil {
-				return err
-			}
-			var es []databasecopy.LogEntry
-			out[k] = es
-			if err := json.Unmarshal(b, &es); err != nil {
-				return err
-			}
-			out[k] = es
-			return nil
-		})
-		if err != nil {
-			return nil, err
-		}
-	}
-	return out, nil
-}
-
-// Died tells which processes ended by themselves.
-func (f *Fleet) Died() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.died)
-}
-
 // Close ends every process.
 func (f *Fleet) Close() error { return f.clean.Run() }
 
-// zoneOf is the zone of the pool node at a callers' address.
-func (f *Fleet) zoneOf(node string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.zones[node]
-}
-
-// CPU is the processor time of our living processes so far, by kind, as the
-// kernel accounts it.
-func (f *Fleet) CPU() map[string]time.Duration {
-	m := map[string]time.Duration{}
-	for _, n := range f.order {
-		p := f.procs[n]
-		p.mu.Lock()
-		c := p.cmd
-		p.mu.Unlock()
-		if c == nil || !strings.HasPrefix(p.kind, "stoneford-") {
-			continue
-		}
-		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.Process.Pid))
-		if err != nil {
-			continue // it is down just now
-		}
-		fs := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
-		for _, t := range fs[11:13] { // user and system time, in hundredths of a second
-			if v, err := strconv.ParseInt(t, 10, 64); err == nil {
-				m[p.kind] += time.Duration(v) * 10 * time.Millisecond
-			}
-		}
-	}
-	return m
-}
-
-// Counters are the pool nodes' counts of queries, status polls and envelopes.
-type Counters struct{ Queries, Polls, Sent float64 }
-
-// Counters sums what all pool nodes counted so far.
-func (f *Fleet) Counters(ctx context.Context) (c Counters) {
-	for _, n := range f.order {
-		p := f.procs[n]
-		if p.kind != "stoneford-pool" {
-			continue
-		}
-		var v struct {
-			Groups map[string]struct {
-				Counts struct{ Queries, Polls float64 }
-			}
-			Links map[string]float64
-		}
-		rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.http+"/v1/counts", nil)
-		if err != nil {
-			continue
-		}
-		r, err := http.DefaultClient.Do(rq)
-		if err != nil {
-			continue
-		}
-		err = json.NewDecoder(r.Body).Decode(&v)
-		r.Body.Close()
-		if err != nil {
-			continue
-		}
-		for _, g := range v.Groups {
-			c.Queries, c.Polls = c.Queries+g.Counts.Queries, c.Polls+g.Counts.Polls
-		}
-		c.Sent += v.Links["sent"]
-	}
-	return c
-}
-
 // Configure sends a change of a partner's and returns how long after its
 // acceptance every process that is up works by it, as they report themselves.
 func (f *Fleet) Configure(ctx context.Context, partner string, line int64) (time.Duration, error) {
@@ -708,19 +424,3 @@
 	})
 	return time.Since(at), err
 }
-
-// Callers starts callers that faults can crowd and move; Go sends the burden.
-func (f *Fleet) Callers(b callers.Burden) *callers.Run {
-	f.burden = callers.New(b)
-	return f.burden
-}
-
-// Describe prints how the fleet can be reached.
-func (f *Fleet) Describe(w io.Writer) {
-	var ts []string
-	for _, p := range f.Shape.Parts {
-		ts = append(ts, Token(p.Partner))
-	}
-	fmt.Fprintf(w, "control (operators): %s\ntokens: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
-		strings.Join(f.ops, " "), strings.Join(ts, " "), strings.Join(f.Nodes(), " "), strings.Join(f.Shape.groups(), " "), f.folder)
-}
--- /dev/null
+++ b/standin/fleet/observe.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"stoneford/control"
+	"stoneford/operators"
+	"stoneford/standin/callers"
+	"stoneford/standin/databasecopy"
+)
+
+// Until tries f again until it does not fail or the time is over.
+func Until(ctx context.Context, most time.Duration, f func() error) error {
+	end := time.Now().Add(most)
+	for {
+		err := f()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		t := time.NewTimer(50 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(err, ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+// Operators is a partner's operators' side of the fleet.
+func (f *Fleet) Operators(partner string) operators.Client {
+	return operators.Client{Addresses: f.ops, Token: Token(partner)}
+}
+
+// Nodes are the ready pool nodes, as the platform hands them out.
+func (f *Fleet) Nodes() []string {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + f.plat + "/v1/nodes")
+	if err != nil {
+		return nil
+	}
+	defer r.Body.Close()
+	var ns []string
+	if json.NewDecoder(r.Body).Decode(&ns) != nil {
+		return nil
+	}
+	return ns
+}
+
+// Ready asks a process whether it is ready.
+func (f *Fleet) Ready(ctx context.Context, name string) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.procs[name].http+"/v1/ready", nil)
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s is not ready", name)
+	}
+	return nil
+}
+
+// Primary is a group's primary now.
+func (f *Fleet) Primary(ctx context.Context, group string) string {
+	s, err := f.Operators(f.Shape.Parts[0].Partner).Status(ctx)
+	if err != nil {
+		return ""
+	}
+	i := slices.IndexFunc(s.Groups, func(g control.GroupStatus) bool { return g.Name == f.Shape.partner(group)+"/"+group })
+	if i < 0 {
+		return ""
+	}
+	return s.Groups[i].Primary
+}
+
+// Logs reads what each group's primary holds, from the copies themselves: the
+// furthest log in the latest epoch.
+func (f *Fleet) Logs(ctx context.Context) (map[string][]databasecopy.LogEntry, error) {
+	out := map[string][]databasecopy.LogEntry{}
+	for _, k := range f.Shape.groups() {
+		_, g, _ := strings.Cut(k, "/")
+		err := Until(ctx, 20*time.Second, func() error {
+			p := f.Primary(ctx, g)
+			if p == "" {
+				return fmt.Errorf("%s has no primary", g)
+			}
+			r, err := http.Get("http://" + f.procs[p].http + "/truth/log")
+			if err != nil {
+				return err
+			}
+			defer r.Body.Close()
+			b, err := io.ReadAll(r.Body)
+			if err != nil {
+				return err
+			}
+			var es []databasecopy.LogEntry
+			out[k] = es
+			if err := json.Unmarshal(b, &es); err != nil {
+				return err
+			}
+			out[k] = es
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// Died tells which processes ended by themselves.
+func (f *Fleet) Died() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.died)
+}
+
+// zoneOf is the zone of the pool node at a callers' address.
+func (f *Fleet) zoneOf(node string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zones[node]
+}
+
+// CPU is the processor time of our living processes so far, by kind, as the
+// kernel accounts it.
+func (f *Fleet) CPU() map[string]time.Duration {
+	m := map[string]time.Duration{}
+	for _, n := range f.order {
+		p := f.procs[n]
+		p.mu.Lock()
+		c := p.cmd
+		p.mu.Unlock()
+		if c == nil || !strings.HasPrefix(p.kind, "stoneford-") {
+			continue
+		}
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.Process.Pid))
+		if err != nil {
+			continue // it is down just now
+		}
+		fs := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+		for _, t := range fs[11:13] { // user and system time, in hundredths of a second
+			if v, err := strconv.ParseInt(t, 10, 64); err == nil {
+				m[p.kind] += time.Duration(v) * 10 * time.Millisecond
+			}
+		}
+	}
+	return m
+}
+
+// Counters are the pool nodes' counts of queries, status polls and envelopes.
+type Counters struct{ Queries, Polls, Sent float64 }
+
+// Counters sums what all pool nodes counted so far.
+func (f *Fleet) Counters(ctx context.Context) (c Counters) {
+	for _, n := range f.order {
+		p := f.procs[n]
+		if p.kind != "stoneford-pool" {
+			continue
+		}
+		var v struct {
+			Groups map[string]struct {
+				Counts struct{ Queries, Polls float64 }
+			}
+			Links map[string]float64
+		}
+		rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.http+"/v1/counts", nil)
+		if err != nil {
+			continue
+		}
+		r, err := http.DefaultClient.Do(rq)
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(r.Body).Decode(&v)
+		r.Body.Close()
+		if err != nil {
+			continue
+		}
+		for _, g := range v.Groups {
+			c.Queries, c.Polls = c.Queries+g.Counts.Queries, c.Polls+g.Counts.Polls
+		}
+		c.Sent += v.Links["sent"]
+	}
+	return c
+}
+
+// Callers starts callers that faults can crowd and move; Go sends the burden.
+func (f *Fleet) Callers(b callers.Burden) *callers.Run {
+	f.burden = callers.New(b)
+	return f.burden
+}
+
+// Describe prints how the fleet can be reached.
+func (f *Fleet) Describe(w io.Writer) {
+	var ts []string
+	for _, p := range f.Shape.Parts {
+		ts = append(ts, Token(p.Partner))
+	}
+	fmt.Fprintf(w, "control (operators): %s\ntokens: %s\nnodes (callers): %s\nroutes: %s\nfolder: %s\n",
+		strings.Join(f.ops, " "), strings.Join(ts, " "), strings.Join(f.Nodes(), " "), strings.Join(f.Shape.groups(), " "), f.folder)
+}
--- /dev/null
+++ b/standin/fleet/shape.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Part is what one partner brings.
+type Part struct {
+	Partner     string
+	Groups      []string
+	Zones       []string // its names for the three zones
+	Connections int
+	Classes     [3]string // its names of the current, the stale and the pinned class
+}
+
+// Shape is a deployment's sizes.
+type Shape struct {
+	Parts    []Part
+	Machines int
+	Sessions int
+	Rate     float64
+}
+
+var (
+	pharmacies = Part{Partner: "pharmacies", Groups: []string{"inventory-1", "inventory-2", "inventory-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 65, Classes: [3]string{"reserve", "lookup", "pickup"}}
+	lender     = Part{Partner: "lender", Groups: []string{"ledger-1", "ledger-2", "ledger-3"}, Zones: []string{"cluj", "iasi", "brasov"}, Connections: 80, Classes: [3]string{"disburse", "repayment", "limit"}}
+)
+
+// Shapes are the users' two, both on one pool, and a smaller one.
+var Shapes = map[string]Shape{
+	"pharmacies": {Parts: []Part{pharmacies}, Machines: 11, Sessions: 290, Rate: 450},
+	"lender":     {Parts: []Part{lender}, Machines: 10, Sessions: 290, Rate: 450},
+	"both":       {Parts: []Part{pharmacies, lender}, Machines: 21, Sessions: 580, Rate: 900},
+	"two":        {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}, {Partner: "lender", Groups: []string{"ledger-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: lender.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
+	"small":      {Parts: []Part{{Partner: "pharmacies", Groups: []string{"inventory-1"}, Zones: pharmacies.Zones, Connections: 40, Classes: pharmacies.Classes}}, Machines: 4, Sessions: 40, Rate: 80},
+}
+
+// groups names every group, as PARTNER/GROUP.
+func (s Shape) groups() []string {
+	var gs []string
+	for _, p := range s.Parts {
+		for _, g := range p.Groups {
+			gs = append(gs, p.Partner+"/"+g)
+		}
+	}
+	return gs
+}
+
+// owner is whom a machine belongs to: the partners bring them in turn.
+func (s Shape) owner(machine int) string { return s.Parts[machine%len(s.Parts)].Partner }
+
+// partner is whom a group belongs to; groups of different partners have
+// different names here.
+func (s Shape) partner(group string) string {
+	for _, p := range s.Parts {
+		if slices.Contains(p.Groups, group) {
+			return p.Partner
+		}
+	}
+	return ""
+}
+
+func (s Shape) connections(group string) int {
+	for _, p := range s.Parts {
+		if strings.HasPrefix(group, p.Partner+"/") {
+			return p.Connections
+		}
+	}
+	return 0
+}
+
+// Route is the route that leads to the group of a database, "" for other
+// processes.
+func (s Shape) Route(process string) string {
+	for _, g := range s.groups() {
+		if _, n, _ := strings.Cut(g, "/"); strings.HasPrefix(process, n+"-") {
+			return g
+		}
+	}
+	return ""
+}
+
+// Configuration is one partner's configuration.
+func (f *Fleet) Configuration(pt Part) map[string]any {
+	dbs, gs, rs := map[string]any{}, map[string]any{}, map[string]any{}
+	for i, g := range pt.Groups {
+		var ms []string
+		for j := range 3 {
+			n := fmt.Sprintf("%s-%c", g, 'a'+j)
+			ms = append(ms, n)
+			dbs[n] = map[string]any{"address": f.addr[n], "zone": pt.Zones[(i+j)%3], "connections": pt.Connections}
+		}
+		gs[g] = map[string]any{"members": ms, "primary": ms[0]}
+		rs[g] = map[string]any{"group": g, "classes": pt.Classes[:]}
+	}
+	return map[string]any{"databases": dbs, "groups": gs, "routes": rs, "classes": map[string]any{
+		pt.Classes[0]: map[string]any{"kind": "current"},
+		pt.Classes[1]: map[string]any{"kind": "stale", "stale_us": 1_500_000},
+		pt.Classes[2]: map[string]any{"kind": "pinned", "stale_us": 2_500_000},
+	}}
+}
