querytable: standard names for load, lease, deadline and refusal; only renamed

Cause: the package's names held withdrawn words.

Change: burden, permit(s), ExpiryUs, passExpiry, bounceQuery and Bounced become load, leased (leases), DeadlineUs, endPastDeadline, refuseQuery and Refused; their uses in pool and simulation with them. Public names stay: the counter is still Bounced in JSON, and texts and settings are as they were. Only renamed.

--- a/pool/callers.go
+++ b/pool/callers.go
@@ -199,7 +199,7 @@
 	}
 	n := p.queryID.Add(1)
 	p.returned(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
-		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, ExpiryUs: b.ExpiryUs}))
+		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, DeadlineUs: b.ExpiryUs}))
 }
 
 func (p *Process) returned(w http.ResponseWriter, session string, v querytable.Return) {
--- a/pool/core.go
+++ b/pool/core.go
@@ -384,11 +384,11 @@
 		ids[m.Database] = m.Identity
 	}
 	for _, m := range cf.Groups[g.name].Members {
-		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
+		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Leased: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
 			Drained: bookings.Drained(c.cal, g.partner+"/"+m), Closed: bookings.Closed(c.cal, g.partner+"/"+m)})
 	}
 	for n, s := range cf.Classes {
-		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, ExpiryUs: s.ExpiryUs}
+		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, DeadlineUs: s.ExpiryUs}
 	}
 	for _, r := range cf.Routes {
 		if r.Group == g.name {
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		c := v.Counts
-		for end, n := range map[string]uint64{"done": c.Done, "bounced": c.Bounced, "uncertain": c.Uncertain, "failed": c.Failed} {
+		for end, n := range map[string]uint64{"done": c.Done, "bounced": c.Refused, "uncertain": c.Uncertain, "failed": c.Failed} {
 			put(dQueries, prometheus.CounterValue, float64(n), g, end)
 		}
 		put(dReads, prometheus.CounterValue, float64(c.OnReplica), g, "replica")
--- a/pool/process.go
+++ b/pool/process.go
@@ -291,7 +291,7 @@
 	}
 	out, err := r.p.dbs.Run(ctx, f.Address, f.ID, f.Epoch, f.ReadOnly, ops)
 	e := querytable.Ran{Run: f.Run, Err: errText(err), Left: err != nil && !errors.Is(err, databaseclient.ErrNeverLeft),
-		Bounced: out.Bounced, Epoch: out.Epoch, Applied: out.Applied}
+		Refused: out.Bounced, Epoch: out.Epoch, Applied: out.Applied}
 	for _, s := range out.Results {
 		e.Results = append(e.Results, querytable.Result(s))
 	}
--- a/querytable/hygiene_test.go
+++ b/querytable/hygiene_test.go
@@ -55,7 +55,7 @@
 	ret := Ran{Run: e.Run, Left: true, Epoch: e.Epoch, Applied: int64(h.runs)}
 	c := h.conns[e.ID]
 	if c == nil {
-		ret.Bounced = "connection"
+		ret.Refused = "connection"
 		return ret
 	}
 	for _, o := range e.Ops {
@@ -225,10 +225,10 @@
 func hygienic(seed uint64, torn bool) *hygiene {
 	h := &hygiene{t: New(seed), r: rand.New(rand.NewPCG(seed, 7)), now: 1_000_000, conns: map[int64]*databaseConn{}, callers: map[string]*caller{}, byQuery: map[uint64]*caller{}, sent: map[string]bool{}, torn: torn}
 	w := Wanted{Group: "g", Epoch: 1, Primary: "a", Line: 100, Classes: map[string]Class{
-		"current": {Name: "current", Kind: "current", WaitUs: 250_000, ExpiryUs: 5_000_000},
-		"stale":   {Name: "stale", Kind: "stale", StaleUs: 1_500_000, MarginUs: 300_000, WaitUs: 250_000, ExpiryUs: 5_000_000}}}
+		"current": {Name: "current", Kind: "current", WaitUs: 250_000, DeadlineUs: 5_000_000},
+		"stale":   {Name: "stale", Kind: "stale", StaleUs: 1_500_000, MarginUs: 300_000, WaitUs: 250_000, DeadlineUs: 5_000_000}}}
 	for _, m := range []string{"a", "b", "c"} {
-		w.Members = append(w.Members, Member{Name: m, Identity: m, Address: m, Permit: 3, UntilUs: 1 << 60})
+		w.Members = append(w.Members, Member{Name: m, Identity: m, Address: m, Leased: 3, UntilUs: 1 << 60})
 	}
 	h.step(Boot{Wanted: w})
 	for range 6000 {
@@ -277,10 +277,10 @@
 func BenchmarkQuery(b *testing.B) {
 	t := New(1)
 	w := Wanted{Group: "g", Epoch: 1, Primary: "a", Line: 1000, Classes: map[string]Class{
-		"current": {Name: "current", Kind: "current", WaitUs: 250_000, ExpiryUs: 5_000_000},
-		"stale":   {Name: "stale", Kind: "stale", StaleUs: 1_500_000, MarginUs: 300_000, WaitUs: 250_000, ExpiryUs: 5_000_000}}}
+		"current": {Name: "current", Kind: "current", WaitUs: 250_000, DeadlineUs: 5_000_000},
+		"stale":   {Name: "stale", Kind: "stale", StaleUs: 1_500_000, MarginUs: 300_000, WaitUs: 250_000, DeadlineUs: 5_000_000}}}
 	for _, m := range []string{"a", "b", "c"} {
-		w.Members = append(w.Members, Member{Name: m, Identity: m, Address: m, Permit: 20, UntilUs: 1 << 60})
+		w.Members = append(w.Members, Member{Name: m, Identity: m, Address: m, Leased: 20, UntilUs: 1 << 60})
 	}
 	now, line := int64(1_000_000), []any{Boot{Wanted: w}}
 	for i := range 60 {
@@ -334,5 +334,5 @@
 		}
 	}
 	b.ReportMetric(float64(t.Counts().Polls)/float64(max(1, done)), "polls/query")
-	b.ReportMetric(float64(t.Counts().Bounced)/float64(max(1, done)), "bounced/query")
+	b.ReportMetric(float64(t.Counts().Refused)/float64(max(1, done)), "bounced/query")
 }
--- a/querytable/members.go
+++ b/querytable/members.go
@@ -212,8 +212,8 @@
 	t.runUs[k] = us
 }
 
-// burden is the remaining time of what runs, or stands in line, at a database.
-func (t *Table) burden(now int64, db string) int64 {
+// load is the remaining time of what runs, or stands in line, at a database.
+func (t *Table) load(now int64, db string) int64 {
 	var b int64
 	for _, q := range t.queries {
 		if q.db != db {
@@ -257,7 +257,7 @@
 			n++
 		}
 	}
-	if !ok || c.epoch != t.w.Epoch || c.address != w.Address || t.away(w) || n > w.permit(now) || c.session != "" {
+	if !ok || c.epoch != t.w.Epoch || c.address != w.Address || t.away(w) || n > w.leased(now) || c.session != "" {
 		t.closeConn(c)
 		return
 	}
@@ -308,7 +308,7 @@
 			t.loseConn(now, c)
 		default:
 			n[c.db]++
-			if free && c.ready && n[c.db] > w.permit(now) {
+			if free && c.ready && n[c.db] > w.leased(now) {
 				t.closeConn(c)
 				n[c.db]--
 			}
@@ -374,5 +374,5 @@
 // connections to a primary that replies and is followed.
 func (t *Table) Ready(now int64) bool {
 	p, ok := t.w.member(t.w.Primary)
-	return ok && p.permit(now) > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
+	return ok && p.leased(now) > 0 && t.fresh.Known() && !t.silent(now, p.Name) && t.followed(now) && !t.stopping
 }
--- a/querytable/passes.go
+++ b/querytable/passes.go
@@ -67,7 +67,7 @@
 	}
 	t.counts.Replaced++
 	if q.tries > 3 || now-q.came > q.class.WaitUs+lineWait {
-		t.bounceQuery(now, q, result.NotFresh, retryShort)
+		t.refuseQuery(now, q, result.NotFresh, retryShort)
 		return
 	}
 	q.state, q.primary, q.db = placing, false, ""
@@ -80,23 +80,23 @@
 	if q.write {
 		most = max(writeMost, 8*avg)
 	}
-	// Near its expiry it would be of no use.
-	return min(most, max((q.expiry-q.came)*3/5, 2*avg))
+	// Near its deadline it would be of no use.
+	return min(most, max((q.deadline-q.came)*3/5, 2*avg))
 }
 
-// passExpiry gives up, at once, what cannot make its expiry any more and what
+// endPastDeadline gives up, at once, what cannot make its deadline any more and what
 // has waited as long as a query may before its runs, however often it was placed
 // anew (design 7.2).
-func (t *Table) passExpiry(now int64) {
+func (t *Table) endPastDeadline(now int64) {
 	t.each(func(q *query) {
-		left := q.expiry - now
+		left := q.deadline - now
 		switch {
 		case left <= 0 && q.state >= running:
 			t.abandon(now, q, result.ReturnLost, "no return by the query's expiry")
 		case q.state <= lining && left <= t.avgRun(q.class.Name, q.db):
 			t.abandon(now, q, result.ExpiryTooNear, "")
 		case q.state <= lining && q.conn == 0 && q.idle+now-q.idleAt > q.class.WaitUs+lineWait:
-			t.bounceQuery(now, q, lo.Ternary(q.state == lining, result.NoConnections, result.NotFresh), retryPrimary)
+			t.refuseQuery(now, q, lo.Ternary(q.state == lining, result.NoConnections, result.NotFresh), retryPrimary)
 		}
 	})
 }
@@ -116,7 +116,7 @@
 		}
 		if q.class.Kind == "current" && t.fresh.SeenUs() < q.came || !t.fresh.Known() {
 			if now-q.came > q.class.WaitUs {
-				t.bounceQuery(now, q, result.NotFresh, retryPrimary)
+				t.refuseQuery(now, q, result.NotFresh, retryPrimary)
 			}
 			return
 		}
@@ -126,10 +126,10 @@
 		}
 		var cs []freshness.Copy
 		for _, m := range t.w.Members {
-			if m.Name == t.w.Primary || m.permit(now) == 0 || slices.Contains(q.avoid, m.Name) || !t.takesPart(now, m.Name) {
+			if m.Name == t.w.Primary || m.leased(now) == 0 || slices.Contains(q.avoid, m.Name) || !t.takesPart(now, m.Name) {
 				continue
 			}
-			cs = append(cs, freshness.Copy{Name: m.Name, Level: t.members[m.Name].status.Applied, BurdenUs: t.burden(now, m.Name),
+			cs = append(cs, freshness.Copy{Name: m.Name, Level: t.members[m.Name].status.Applied, BurdenUs: t.load(now, m.Name),
 				RunUs: t.avgRun(q.class.Name, m.Name), RateUs: t.members[m.Name].rateUs, LagUs: t.members[m.Name].lagUs})
 		}
 		ch, ok := t.choose(q.class.formula(q.class.MarginUs), floor, now, cs)
@@ -144,7 +144,7 @@
 			t.waitLevel(now, q)
 		case now-q.came > q.class.WaitUs:
 			// No level known here would do: no round has come through lately.
-			t.bounceQuery(now, q, result.NotFresh, retryPrimary)
+			t.refuseQuery(now, q, result.NotFresh, retryPrimary)
 		}
 	})
 }
@@ -215,11 +215,11 @@
 	p, ok := t.w.member(t.w.Primary)
 	switch {
 	case !ok, t.silent(now, p.Name), !t.followed(now):
-		t.bounceQuery(now, q, result.NoPrimary, t.comeBack(now))
+		t.refuseQuery(now, q, result.NoPrimary, t.comeBack(now))
 	case t.away(p), p.Drained && q.Begin && !q.Commit:
-		t.bounceQuery(now, q, result.Leaving, t.comeBack(now))
-	case p.permit(now) == 0:
-		t.bounceQuery(now, q, result.NoConnections, retryPrimary)
+		t.refuseQuery(now, q, result.Leaving, t.comeBack(now))
+	case p.leased(now) == 0:
+		t.refuseQuery(now, q, result.NoConnections, retryPrimary)
 	default:
 		q.db, q.state, q.waited, q.epoch = p.Name, lining, now, t.w.Epoch
 	}
@@ -268,7 +268,7 @@
 		m, ok := t.w.member(q.db)
 		if !ok || t.away(m) || t.silent(now, q.db) || now-q.waited > lineWait {
 			if q.write || now-q.waited > lineWait {
-				t.bounceQuery(now, q, result.NoConnections, retryPrimary)
+				t.refuseQuery(now, q, result.NoConnections, retryPrimary)
 			} else {
 				t.again(now, q, false)
 			}
@@ -300,7 +300,7 @@
 				}
 			}
 		}
-		for ; opening < want[m.Name] && n < m.permit(now) && now >= t.members[m.Name].openAgain; opening, n = opening+1, n+1 {
+		for ; opening < want[m.Name] && n < m.leased(now) && now >= t.members[m.Name].openAgain; opening, n = opening+1, n+1 {
 			id := t.id()
 			t.conns[id] = &conn{id: id, db: m.Name, address: m.Address, epoch: t.w.Epoch, since: now}
 			t.connIDs = append(t.connIDs, id)
@@ -348,7 +348,7 @@
 	q.run, q.state, q.sent, q.epoch = id, running, now, t.w.Epoch
 	q.idle, q.idleAt = q.idle+now-q.idleAt, now
 	t.counts.Runs++
-	t.fx = append(t.fx, Run{Run: id, Conn: c.id, Address: c.address, ID: c.remote, Epoch: t.w.Epoch, Ops: ops, ReadOnly: !q.write, UntilUs: q.expiry})
+	t.fx = append(t.fx, Run{Run: id, Conn: c.id, Address: c.address, ID: c.remote, Epoch: t.w.Epoch, Ops: ops, ReadOnly: !q.write, UntilUs: q.deadline})
 }
 
 // ran takes a run's return.
@@ -362,7 +362,7 @@
 	s := t.sessions[q.Session]
 	inTx := s.conn != 0
 	switch {
-	case e.Bounced != "" || e.Err != "" && !e.Left:
+	case e.Refused != "" || e.Err != "" && !e.Left:
 		// The database took nothing of it, or never heard of it.
 		t.members[q.db].next = 0
 		if !q.write {
@@ -372,9 +372,9 @@
 		t.closeConn(c)
 		s.conn = 0
 		if inTx && !q.Begin {
-			t.end(now, q, Return{Code: result.TransactionLost, Outcome: result.NothingKept, Text: e.Bounced + e.Err})
+			t.end(now, q, Return{Code: result.TransactionLost, Outcome: result.NothingKept, Text: e.Refused + e.Err})
 		} else {
-			t.bounceQuery(now, q, result.DatabaseAway, t.comeBack(now))
+			t.refuseQuery(now, q, result.DatabaseAway, t.comeBack(now))
 		}
 		return
 	case e.Err != "":
@@ -477,7 +477,7 @@
 				if q.write {
 					t.abandon(now, q, result.NoMajority, "")
 				} else {
-					t.bounceQuery(now, q, result.NotFresh, retryPrimary)
+					t.refuseQuery(now, q, result.NotFresh, retryPrimary)
 				}
 			}
 			return
--- a/querytable/sessions.go
+++ b/querytable/sessions.go
@@ -66,7 +66,7 @@
 func (t *Table) allow(now int64, e Query) {
 	t.counts.Queries++
 	s := t.sessions[e.Session]
-	bounce := func(c result.Code, text string, after int64) {
+	refuse := func(c result.Code, text string, after int64) {
 		r := Return{ID: e.ID, Code: c, Outcome: result.NothingKept, Text: text, RetryAfterUs: after}
 		if s != nil {
 			r.Token, r.Open = s.token, s.conn != 0
@@ -75,7 +75,7 @@
 		t.fx = append(t.fx, r)
 	}
 	if s == nil {
-		bounce(result.UnknownSession, "", 0)
+		refuse(result.UnknownSession, "", 0)
 		return
 	}
 	if i := slices.Index(s.names, e.Name); e.Name != "" && i >= 0 {
@@ -86,33 +86,33 @@
 		return
 	}
 	if s.busy != 0 {
-		bounce(result.SessionInUse, "", 0)
+		refuse(result.SessionInUse, "", 0)
 		return
 	}
 	s.touched = now
 	if s.lost {
 		s.lost = false
-		bounce(result.TransactionLost, "", 0)
+		refuse(result.TransactionLost, "", 0)
 		return
 	}
 	cl, ok := t.w.Classes[e.Class]
 	switch {
 	case t.w.Group == "":
-		bounce(result.NotConfigured, "", retryPrimary)
+		refuse(result.NotConfigured, "", retryPrimary)
 		return
 	case !ok:
-		bounce(result.UnknownClass, e.Class, 0)
+		refuse(result.UnknownClass, e.Class, 0)
 		return
 	case s.conn == 0 && !e.Begin && (e.Commit || e.Rollback), s.conn != 0 && e.Begin:
-		bounce(result.OutsideTransaction, "", 0)
+		refuse(result.OutsideTransaction, "", 0)
 		return
 	case e.Commit && e.Rollback, len(e.Statements) == 0 && !e.Begin && !e.Commit && !e.Rollback,
 		s.conn == 0 && !e.Begin && len(e.Statements) != 1,
 		cl.Kind != "current" && (e.Begin || s.conn != 0):
-		bounce(result.BadQuery, "", 0)
+		refuse(result.BadQuery, "", 0)
 		return
 	case t.stopping && s.conn == 0:
-		bounce(result.Stopping, "", 0)
+		refuse(result.Stopping, "", 0)
 		return
 	}
 	for _, st := range e.Statements {
@@ -120,16 +120,16 @@
 			continue
 		}
 		if _, ok := s.prepared[st.Prepared]; !ok {
-			bounce(result.UnknownPrepared, st.Prepared, 0)
+			refuse(result.UnknownPrepared, st.Prepared, 0)
 			return
 		}
 	}
 	q := &query{Query: e, class: cl, came: now, idleAt: now}
-	x := e.ExpiryUs
+	x := e.DeadlineUs
 	if x <= 0 {
-		x = cl.ExpiryUs
+		x = cl.DeadlineUs
 	}
-	q.expiry = now + x
+	q.deadline = now + x
 	// Inside a transaction, or where something may be written, only the
 	// primary will do.
 	q.write = e.Begin || s.conn != 0 || cl.Kind == "current" && !e.ReadOnly
@@ -143,11 +143,11 @@
 			}
 		}
 		if n >= t.w.Line {
-			bounce(result.LineFull, "", max(retryShort, sum/int64(max(1, t.permits(now)))))
+			refuse(result.LineFull, "", max(retryShort, sum/int64(max(1, t.leases(now)))))
 			return
 		}
-		if est := sum/int64(max(1, t.permits(now))) + t.avgRun(cl.Name, ""); est > x {
-			bounce(result.ExpiryTooNear, "", max(retryShort, est-x))
+		if est := sum/int64(max(1, t.leases(now))) + t.avgRun(cl.Name, ""); est > x {
+			refuse(result.ExpiryTooNear, "", max(retryShort, est-x))
 			return
 		}
 	}
@@ -160,10 +160,10 @@
 	}
 }
 
-func (t *Table) permits(now int64) int {
+func (t *Table) leases(now int64) int {
 	n := 0
 	for _, m := range t.w.Members {
-		n += m.permit(now)
+		n += m.leased(now)
 	}
 	return n
 }
@@ -192,15 +192,15 @@
 	case r.Outcome == result.Uncertain:
 		t.counts.Uncertain++
 	case r.Code.Bounce():
-		t.counts.Bounced++
+		t.counts.Refused++
 	default:
 		t.counts.Failed++
 	}
 }
 
-// bounceQuery ends a query of which nothing ever left, or whose end the
+// refuseQuery ends a query of which nothing ever left, or whose end the
 // database confirmed.
-func (t *Table) bounceQuery(now int64, q *query, c result.Code, after int64) {
+func (t *Table) refuseQuery(now int64, q *query, c result.Code, after int64) {
 	t.end(now, q, Return{Code: c, Outcome: result.NothingKept, RetryAfterUs: after + t.rnd.Int64N(retryShort)})
 }
 
--- a/querytable/table.go
+++ b/querytable/table.go
@@ -19,28 +19,28 @@
 	Name     string
 	Identity string // as agreed; a copy with another one does not count
 	Address  string
-	Permit   int   // connections this node may hold
+	Leased   int   // connections this node may hold
 	UntilUs  int64 // and until when
 	Drained  bool  // an agreed move drains it: no new reads on a replica, no new transaction on a primary
 	Closed   bool  // and nothing new at all
 }
 
-// permit is what may be held now: a node that was frozen wakes up with none.
-func (m Member) permit(now int64) int {
+// leased is how many connections may be held now: a node that was frozen wakes up with none.
+func (m Member) leased(now int64) int {
 	if now >= m.UntilUs {
 		return 0
 	}
-	return m.Permit
+	return m.Leased
 }
 
 // Class is a query class's promise.
 type Class struct {
-	Name     string
-	Kind     string // current, stale or pinned
-	StaleUs  int64
-	MarginUs int64
-	WaitUs   int64
-	ExpiryUs int64
+	Name       string
+	Kind       string // current, stale or pinned
+	StaleUs    int64
+	MarginUs   int64
+	WaitUs     int64
+	DeadlineUs int64
 }
 
 func (c Class) formula(margin int64) freshness.Formula {
@@ -114,7 +114,7 @@
 		Commit     bool
 		Rollback   bool
 		Statements []Statement
-		ExpiryUs   int64 // from its arrival; 0 for the class's
+		DeadlineUs int64 // from its arrival; 0 for the class's
 	}
 	// Opened ends an OpenConnection; ID is the database's.
 	Opened struct {
@@ -128,7 +128,7 @@
 		Run     uint64
 		Left    bool
 		Err     string
-		Bounced string
+		Refused string
 		Results []Result
 		Epoch   uint64
 		Applied int64
@@ -203,7 +203,7 @@
 		ID      int64
 		Epoch   uint64
 		Ops     []Op
-		// ReadOnly has the database bounce a write.
+		// ReadOnly has the database refuse a write.
 		ReadOnly bool
 		UntilUs  int64
 	}
@@ -281,27 +281,27 @@
 
 type query struct {
 	Query
-	class   Class
-	came    int64
-	expiry  int64
-	write   bool // goes to the primary and may leave something there
-	ends    bool // a run of it may commit
-	state   state
-	db      string
-	need    int64
-	waited  int64 // when it began to wait for its level
-	primary bool  // fallen back to the primary
-	conn    uint64
-	run     uint64
-	sent    int64
-	epoch   uint64
-	held    int64 // position a majority must hold
-	commit  commit
-	ret     Return
-	tries   int
-	avoid   []string
-	idle    int64 // time spent waiting before its runs
-	idleAt  int64 // since when it waits again
+	class    Class
+	came     int64
+	deadline int64
+	write    bool // goes to the primary and may leave something there
+	ends     bool // a run of it may commit
+	state    state
+	db       string
+	need     int64
+	waited   int64 // when it began to wait for its level
+	primary  bool  // fallen back to the primary
+	conn     uint64
+	run      uint64
+	sent     int64
+	epoch    uint64
+	held     int64 // position a majority must hold
+	commit   commit
+	ret      Return
+	tries    int
+	avoid    []string
+	idle     int64 // time spent waiting before its runs
+	idleAt   int64 // since when it waits again
 }
 
 type commit struct {
@@ -352,9 +352,11 @@
 
 // Counts are a table's counters.
 type Counts struct {
-	Queries, Done, Bounced, Uncertain, Failed uint64
-	OnReplica, OnPrimary                      uint64
-	Polls, Runs, Opens, Replaced              uint64
+	Queries, Done                uint64
+	Refused                      uint64 `json:"Bounced"` // the public name
+	Uncertain, Failed            uint64
+	OnReplica, OnPrimary         uint64
+	Polls, Runs, Opens, Replaced uint64
 }
 
 // Table is one group's sessions, queries, connections and freshness queue.
@@ -440,7 +442,7 @@
 // passes run over the table in the order a query goes through it.
 func (t *Table) passes(now int64) {
 	t.passEpoch(now)
-	t.passExpiry(now)
+	t.endPastDeadline(now)
 	t.passPlace(now)
 	t.passConnect(now)
 	t.passSettle(now)
--- a/simulation/node_process.go
+++ b/simulation/node_process.go
@@ -94,7 +94,7 @@
 		for _, w := range n.wanted {
 			for _, m := range w.Members {
 				if f.Now < m.UntilUs {
-					sum[m.Name] += m.Permit
+					sum[m.Name] += m.Leased
 				}
 			}
 		}
@@ -187,7 +187,7 @@
 	}, func(v any, left bool) {
 		r := querytable.Ran{Run: e.Run, Left: left && f.Plan.Plant != NothingKeptSaid}
 		if v, ok := v.(databasecopy.RunReturn); ok {
-			r.Bounced, r.Epoch, r.Applied = v.Bounced, v.Epoch, v.Applied
+			r.Refused, r.Epoch, r.Applied = v.Bounced, v.Epoch, v.Applied
 			if f.Plan.Plant == ClaimedApplied {
 				r.Applied = 1 << 40
 			}
@@ -265,7 +265,7 @@
 	n := f.Nodes[i]
 	for _, g := range f.Plan.Groups {
 		w := n.wanted[f.owner[g]+"/"+g]
-		if !slices.ContainsFunc(w.Members, func(m querytable.Member) bool { return m.Name == w.Primary && m.Permit > 0 && f.Now < m.UntilUs }) {
+		if !slices.ContainsFunc(w.Members, func(m querytable.Member) bool { return m.Name == w.Primary && m.Leased > 0 && f.Now < m.UntilUs }) {
 			return false
 		}
 	}
