pool, takeover, duties, whatif, neighbours: standard names; only renamed

Cause: names held withdrawn words.

Change: bounce, readExpiry, askExpiry, PermitUs, reBurden and Neighbours become refuse, readDeadline, askTimeout, LeaseUs, reLoad and Peers. JSON names, codes and the texts of a what-if stay.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -18,14 +18,14 @@
 )
 
 const (
-	lookEvery = 500_000
-	askExpiry = 2_000_000
-	// PermitUs is how long a holder may act after the start of the last look
+	lookEvery  = 500_000
+	askTimeout = 2_000_000
+	// LeaseUs is how long a holder may act after the start of the last look
 	// that showed it as the holder.
-	PermitUs = 2_000_000
+	LeaseUs = 2_000_000
 	// waitUs is how long a new holder waits for the one before to have ended:
 	// the same time with a tenth for clocks that run at different rates.
-	waitUs = PermitUs * 11 / 10
+	waitUs = LeaseUs * 11 / 10
 )
 
 type duty struct {
@@ -136,7 +136,7 @@
 	for _, k := range d.order {
 		u := d.m[k]
 		if u.asked > 0 {
-			if now-u.asked > askExpiry+lookEvery {
+			if now-u.asked > askTimeout+lookEvery {
 				u.asked = 0
 			}
 			continue
@@ -176,7 +176,7 @@
 		}
 		if now >= u.next {
 			u.asked, u.next = now, now+lookEvery
-			fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: k, Read: true, Expiry: now + askExpiry})
+			fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: k, Read: true, Expiry: now + askTimeout})
 		}
 	}
 	return fx
@@ -188,7 +188,7 @@
 		panic(err)
 	}
 	u.asked, u.next, u.known = now, now+lookEvery, false
-	fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: u.key, Base: u.revision, Data: b, Expiry: now + askExpiry})
+	fx.Changes = append(fx.Changes, ballots.Change{Name: d.name(), Key: u.key, Base: u.revision, Data: b, Expiry: now + askTimeout})
 }
 
 // Outcome takes the end of a change of this package.
@@ -217,7 +217,7 @@
 			u.since = now
 			fx.Taken = append(fx.Taken, u.key)
 		}
-		u.valid = asked + PermitUs
+		u.valid = asked + LeaseUs
 	}
 	return fx
 }
--- a/neighbours/neighbours.go
+++ b/neighbours/neighbours.go
@@ -60,8 +60,8 @@
 	w.watched = m
 }
 
-// Neighbours are the nodes this one watches.
-func (w *Watch) Neighbours() []string { return slices.Sorted(maps.Keys(w.watched)) }
+// Peers are the nodes this one watches.
+func (w *Watch) Peers() []string { return slices.Sorted(maps.Keys(w.watched)) }
 
 // Tick pings and looks for silence.
 func (w *Watch) Tick(now int64) Effects {
@@ -77,7 +77,7 @@
 	}
 	w.next = now + pingEvery
 	w.number++
-	for _, n := range w.Neighbours() {
+	for _, n := range w.Peers() {
 		v := w.watched[n]
 		fx.Send = append(fx.Send, step.Send{To: n, Env: &schema.Envelope{From: w.self, Body: &schema.Envelope_Ping{Ping: &schema.Ping{Number: w.number}}}})
 		if !v.suspected && now-v.heard > suspectAfter {
--- a/pool/callers.go
+++ b/pool/callers.go
@@ -60,7 +60,7 @@
 	json.NewEncoder(w).Encode(r)
 }
 
-func (p *Process) bounce(w http.ResponseWriter, c result.Code, detail string) {
+func (p *Process) refuse(w http.ResponseWriter, c result.Code, detail string) {
 	p.give(w, reply{Code: c, Detail: detail, Outcome: result.NothingKept})
 }
 
@@ -76,9 +76,9 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		p.bounce(w, result.TooLarge, "")
+		p.refuse(w, result.TooLarge, "")
 	case err != nil:
-		p.bounce(w, result.BadJSON, err.Error())
+		p.refuse(w, result.BadJSON, err.Error())
 	}
 	return err == nil
 }
@@ -104,16 +104,16 @@
 	}
 	switch {
 	case p.stopping.Load():
-		p.bounce(w, result.Stopping, "")
+		p.refuse(w, result.Stopping, "")
 		return
 	case len(rs) == 0 || ok && g == nil:
 		p.give(w, reply{Code: result.NotConfigured, Outcome: result.NothingKept, RetryAfterUs: 300_000})
 		return
 	case !ok:
-		p.bounce(w, result.UnknownRoute, b.Route)
+		p.refuse(w, result.UnknownRoute, b.Route)
 		return
 	case b.Token.Group != "" && b.Token.Group != rt.Group:
-		p.bounce(w, result.BadToken, "of "+b.Token.Group)
+		p.refuse(w, result.BadToken, "of "+b.Token.Group)
 		return
 	}
 	id := b.Session
@@ -121,7 +121,7 @@
 		id = rand.Text()
 	}
 	if _, taken := p.sessions.LoadOrStore(id, &routed{r: g, route: b.Route}); taken {
-		p.bounce(w, result.SessionExists, id)
+		p.refuse(w, result.SessionExists, id)
 		return
 	}
 	g.l.Post(querytable.Open{Session: id, Values: b.Values, Prepared: b.Prepared, Token: b.Token})
@@ -138,7 +138,7 @@
 	id := r.PathValue("id")
 	v, ok := p.sessions.Load(id)
 	if !ok {
-		p.bounce(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
+		p.refuse(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
 		return id, nil
 	}
 	return id, v.(*routed)
@@ -178,7 +178,7 @@
 	Commit     bool                   `json:"commit"`
 	Rollback   bool                   `json:"rollback"`
 	Statements []querytable.Statement `json:"statements"`
-	ExpiryUs   int64                  `json:"expiry_us"`
+	DeadlineUs int64                  `json:"expiry_us"`
 }
 
 func (p *Process) querySession(w http.ResponseWriter, r *http.Request) {
@@ -191,15 +191,15 @@
 		return
 	}
 	if rt, ok := (*p.routes.Load())[s.route]; !ok {
-		p.bounce(w, result.UnknownRoute, s.route)
+		p.refuse(w, result.UnknownRoute, s.route)
 		return
 	} else if !slices.Contains(rt.Classes, b.Class) {
-		p.bounce(w, result.ClassNotOnRoute, b.Class)
+		p.refuse(w, result.ClassNotOnRoute, b.Class)
 		return
 	}
 	n := p.queryID.Add(1)
 	p.returned(w, id, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
-		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, DeadlineUs: b.ExpiryUs}))
+		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, DeadlineUs: b.DeadlineUs}))
 }
 
 func (p *Process) returned(w http.ResponseWriter, session string, v querytable.Return) {
--- a/pool/core.go
+++ b/pool/core.go
@@ -90,7 +90,7 @@
 	reportEvery   = 500_000
 	groupEvery    = 10_000
 	drainEvery    = 100_000
-	readExpiry    = 2_000_000
+	readDeadline  = 2_000_000
 )
 
 type group struct {
@@ -231,7 +231,7 @@
 		if !c.reading[key] {
 			c.reading[key] = true
 			c.names++
-			c.proposed(now, c.proposer.Ask(now, ballots.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Expiry: now + readExpiry}))
+			c.proposed(now, c.proposer.Ask(now, ballots.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Expiry: now + readDeadline}))
 		}
 		return
 	}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -21,7 +21,7 @@
 
 const (
 	pollEvery     = 200_000
-	askExpiry     = 1_500_000
+	askTimeout    = 1_500_000
 	suspectAfter  = 700_000   // the primary replied to none of the holder's polls so long
 	aloneAfter    = 2_000_000 // the same where no pool node reports at all
 	sealEvery     = 150_000
@@ -431,7 +431,7 @@
 	}
 	need := sealsNeeded(st)
 	if n < need {
-		if now >= g.nextSay && now-g.sealBegan > askExpiry {
+		if now >= g.nextSay && now-g.sealBegan > askTimeout {
 			g.nextSay = now + sayEvery
 			g.say(result.TakeoverWaits, "epoch %d: %d of %d members sealed", st.Epoch, n, need)
 		}
--- a/whatif/whatif.go
+++ b/whatif/whatif.go
@@ -60,7 +60,7 @@
 
 var (
 	reLag    = regexp.MustCompile(`^replication lags (\d+) ?(s|ms)$`)
-	reBurden = regexp.MustCompile(`^burden x(\d+(?:\.\d+)?)$`)
+	reLoad   = regexp.MustCompile(`^burden x(\d+(?:\.\d+)?)$`)
 	reConn   = regexp.MustCompile(`^connections (\d+)$`)
 	reMach   = regexp.MustCompile(`^machines (\d+)$`)
 	reZone   = regexp.MustCompile(`^(?:zone )?(\S+) gone$`)
@@ -99,7 +99,7 @@
 	}
 	if m := reLag.FindStringSubmatch(t); m != nil {
 		c.event = func(f *simulation.Fleet, _ *Case) error { f.Lag(us(m[1], m[2])); return nil }
-	} else if m := reBurden.FindStringSubmatch(t); m != nil {
+	} else if m := reLoad.FindStringSubmatch(t); m != nil {
 		x, err := strconv.ParseFloat(m[1], 64)
 		if err != nil || x <= 0 {
 			return c, errName.New("%q: not a burden", text)
