simulation, stand-ins: standard names for load, lease and refusal; only renamed

Cause: names held withdrawn words.

Change: Burden, Bounced*, bounceMost, LosePermits, checkPermits and Permitted become Load, Refused*, refuseMost, LoseLeases, checkLeases and HoldsLease; the callers' ExpiryUs is DeadlineUs and stays expiry_us in JSON. run-fleet's usage says load for burden; no flag changed. The stand-in callers, the database copy, the fleet and the simulation are one commit, since they share these names. Test files changed by the new names alone. Only renamed.

--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -30,18 +30,18 @@
 type Truth struct {
 	f *Fleet
 	*checker.Checker
-	Samples  []Sample
-	Bounced  int                       // connections bounced by a database for its limit
-	Held     map[result.Code][]int64   // how long nodes held what they did not do, by code
-	Again    map[result.Code][]Again   // how it went on after a first bounce, by its code
-	accepted map[string]control.Return // newest configuration told accepted, by partner
-	InForce  []int64                   // how long accepted configurations took to be in force on all plain nodes
+	Samples            []Sample
+	RefusedConnections int                       // connections refused by a database for its limit
+	Held               map[result.Code][]int64   // how long nodes held what they did not do, by code
+	Again              map[result.Code][]Again   // how it went on after a first bounce, by its code
+	accepted           map[string]control.Return // newest configuration told accepted, by partner
+	InForce            []int64                   // how long accepted configurations took to be in force on all plain nodes
 }
 
 // heldMost is how long a node that nothing ails may hold a query that it gives
 // up: a bounce, and whatever had left for a database.
 const (
-	bounceMost = 3_500_000
+	refuseMost = 3_500_000
 	heldMost   = 4_000_000
 )
 
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -193,8 +193,8 @@
 	}
 }
 
-// LosePermits has no permit reach any node from now on: a plant.
-func (f *Fleet) LosePermits() {
+// LoseLeases has no permit reach any node from now on: a plant.
+func (f *Fleet) LoseLeases() {
 	take := f.Net.Take
 	f.Net.Take = func(to string, e *schema.Envelope) {
 		if e.GetPermitGive() == nil {
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -162,7 +162,7 @@
 			}
 			f.Run(f.Now + 10_000_000)
 			if c.planted {
-				f.LosePermits()
+				f.LoseLeases()
 			}
 			f.Heal()
 			f.Run(f.Now + 12_000_000)
--- a/simulation/node_process.go
+++ b/simulation/node_process.go
@@ -40,7 +40,7 @@
 			said = append(said, pool.TableSaid{Group: k, Views: n.tables[k].Views(f.Now), InUse: in})
 		}
 		f.stepNode(n, said...)
-		f.checkPermits()
+		f.checkLeases()
 	})
 }
 
@@ -84,8 +84,8 @@
 	}
 }
 
-// checkPermits: what all nodes together may open never passes the limit.
-func (f *Fleet) checkPermits() {
+// checkLeases: what all nodes together may open never passes the limit.
+func (f *Fleet) checkLeases() {
 	sum := map[string]int{}
 	for _, n := range f.Nodes {
 		if !n.up || n.paused {
@@ -142,7 +142,7 @@
 	f.call(n.boot.Listen, e.Address, 1_000_000, func(db *DB, reply func(any)) {
 		id, ok := db.c.Open(n.boot.Name, run, f.Now)
 		if !ok {
-			f.Truth.Bounced++
+			f.Truth.RefusedConnections++
 			reply("limit")
 			return
 		}
@@ -182,12 +182,12 @@
 				db.lose--
 				return
 			}
-			reply(databasecopy.RunReturn{Bounced: ref, Results: rs, Epoch: db.c.Epoch, Applied: db.c.Applied(), AtUs: f.Now})
+			reply(databasecopy.RunReturn{Refused: ref, Results: rs, Epoch: db.c.Epoch, Applied: db.c.Applied(), AtUs: f.Now})
 		})
 	}, func(v any, left bool) {
 		r := querytable.Ran{Run: e.Run, Left: left && f.Plan.Plant != NothingKeptSaid}
 		if v, ok := v.(databasecopy.RunReturn); ok {
-			r.Refused, r.Epoch, r.Applied = v.Bounced, v.Epoch, v.Applied
+			r.Refused, r.Epoch, r.Applied = v.Refused, v.Epoch, v.Applied
 			if f.Plan.Plant == ClaimedApplied {
 				r.Applied = 1 << 40
 			}
@@ -260,8 +260,8 @@
 	})
 }
 
-// Permitted says whether a node may use connections to every group's primary now.
-func (f *Fleet) Permitted(i int) bool {
+// HoldsLease says whether a node may use connections to every group's primary now.
+func (f *Fleet) HoldsLease(i int) bool {
 	n := f.Nodes[i]
 	for _, g := range f.Plan.Groups {
 		w := n.wanted[f.owner[g]+"/"+g]
--- a/simulation/sessions.go
+++ b/simulation/sessions.go
@@ -224,7 +224,7 @@
 					took := f.Now - at
 					if r.Outcome != result.Done && n.trouble < at {
 						f.Truth.Held[r.Code] = append(f.Truth.Held[r.Code], took)
-						if took > heldMost || r.Code.Bounce() && took > bounceMost {
+						if took > heldMost || r.Code.Bounce() && took > refuseMost {
 							f.Bad("%s held a query for %d us and gave it up with %d", n.boot.Name, took, r.Code)
 						}
 					}
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -22,8 +22,8 @@
 	"stoneford/standin/checker"
 )
 
-// Burden is what callers do.
-type Burden struct {
+// Load is what callers do.
+type Load struct {
 	Routes   []string                     // one group behind each
 	Classes  map[string]map[string]string // a class's name by route and kind
 	Sessions int
@@ -69,7 +69,7 @@
 
 // Run is one run of the callers.
 type Run struct {
-	burden  Burden
+	load    Load
 	c       *http.Client
 	began   time.Time
 	mu      sync.Mutex
@@ -85,31 +85,31 @@
 }
 
 // New makes a run.
-func New(l Burden) *Run {
-	return &Run{burden: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{}, lastTag: map[string]string{},
+func New(l Load) *Run {
+	return &Run{load: l, began: time.Now(), Checker: checker.New(), ackAt: map[string][]int64{}, lastTag: map[string]string{},
 		c: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 }
 
 func nowUs() int64 { return time.Now().UnixMicro() }
 
-// Go sends the burden until the context ends, then waits for what is under way.
+// Go sends the load until the context ends, then waits for what is under way.
 func (r *Run) Go(ctx context.Context) {
 	r.mu.Lock()
 	r.ctx = ctx
 	r.mu.Unlock()
-	for _, rt := range r.burden.Routes {
+	for _, rt := range r.load.Routes {
 		r.wg.Go(func() { r.tick(ctx, rt) })
 	}
-	for i := range r.burden.Sessions {
-		r.begin(ctx, fmt.Sprintf("s%d-%d", r.burden.Seed, i), i, r.burden.Rate)
+	for i := range r.load.Sessions {
+		r.begin(ctx, fmt.Sprintf("s%d-%d", r.load.Seed, i), i, r.load.Rate)
 	}
 	r.wg.Wait()
 }
 
 // begin starts one session that shares so many queries a second with the others.
 func (r *Run) begin(ctx context.Context, name string, i int, rate float64) {
-	per := time.Duration(float64(time.Second) * float64(r.burden.Sessions) / rate)
-	s := r.session(name, r.burden.Routes[i%len(r.burden.Routes)], uint64(i))
+	per := time.Duration(float64(time.Second) * float64(r.load.Sessions) / rate)
+	s := r.session(name, r.load.Routes[i%len(r.load.Routes)], uint64(i))
 	r.wg.Go(func() {
 		next := time.Now().Add(time.Duration(s.rnd.Int64N(int64(min(per, time.Second)))))
 		for pause(ctx, time.Until(next)) {
@@ -123,9 +123,9 @@
 }
 
 func (r *Run) session(name, route string, i uint64) *session {
-	s := &session{r: r, name: name, route: route, rnd: rand.New(rand.NewPCG(r.burden.Seed, i))}
-	if n := len(r.burden.Zones); n > 0 {
-		s.zone.Store(r.burden.Zones[int(i)%n])
+	s := &session{r: r, name: name, route: route, rnd: rand.New(rand.NewPCG(r.load.Seed, i))}
+	if n := len(r.load.Zones); n > 0 {
+		s.zone.Store(r.load.Zones[int(i)%n])
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,8 +142,8 @@
 	n := r.crowds
 	r.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, length)
-	for i := range times * r.burden.Sessions {
-		r.begin(ctx, fmt.Sprintf("c%d-%d-%d", r.burden.Seed, n, i), n<<20+i, r.burden.Rate)
+	for i := range times * r.load.Sessions {
+		r.begin(ctx, fmt.Sprintf("c%d-%d-%d", r.load.Seed, n, i), n<<20+i, r.load.Rate)
 	}
 	r.wg.Go(func() { <-ctx.Done(); stop() })
 }
@@ -153,7 +153,7 @@
 func (r *Run) Move(zone string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	zs := r.burden.Zones
+	zs := r.load.Zones
 	for _, s := range r.all {
 		z, _ := s.zone.Load().(string)
 		if i := slices.Index(zs, z); i >= 0 && (zone == z || zone == "all") {
@@ -204,7 +204,7 @@
 	Commit     bool                   `json:"commit,omitempty"`
 	Rollback   bool                   `json:"rollback,omitempty"`
 	Statements []querytable.Statement `json:"statements,omitempty"`
-	ExpiryUs   int64                  `json:"expiry_us,omitempty"`
+	DeadlineUs int64                  `json:"expiry_us,omitempty"`
 }
 
 type session struct {
@@ -241,13 +241,13 @@
 // open has a session on some ready node, with the token of the last one.
 func (s *session) open(ctx context.Context) bool {
 	for n := 0; ctx.Err() == nil && n < 50; n++ {
-		ns := s.r.burden.Nodes()
+		ns := s.r.load.Nodes()
 		if len(ns) == 0 {
 			pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		if z, _ := s.zone.Load().(string); z != "" {
-			if near := slices.DeleteFunc(slices.Clone(ns), func(n string) bool { return s.r.burden.Zone(n) != z }); len(near) > 0 {
+			if near := slices.DeleteFunc(slices.Clone(ns), func(n string) bool { return s.r.load.Zone(n) != z }); len(near) > 0 {
 				ns = near
 			}
 		}
@@ -416,7 +416,7 @@
 }
 
 // class is the route's class of a kind.
-func (s *session) class(kind string) string { return s.r.burden.Classes[s.route][kind] }
+func (s *session) class(kind string) string { return s.r.load.Classes[s.route][kind] }
 
 // current is a statement that reads the ticks, the session's own row and the
 // newest tag that another wrote, and what must show in it.
--- a/standin/databasecopy/copy.go
+++ b/standin/databasecopy/copy.go
@@ -283,25 +283,25 @@
 // Connections is how many are open.
 func (c *Copy) Connections() int { return len(c.conns) }
 
-// Bounces of a whole run: nothing of it took effect.
+// Refusals of a whole run: nothing of it took effect.
 const (
-	BouncedConnection = "connection"
-	BouncedEpoch      = "epoch"
-	BouncedRole       = "role"
+	RefusedConnection = "connection"
+	RefusedEpoch      = "epoch"
+	RefusedRole       = "role"
 )
 
 // Run runs ops in order and stops behind the first that fails.
-func (c *Copy) Run(id int64, epoch uint64, ops []Op, readOnly bool, atUs int64) (rs []Result, bounced string) {
+func (c *Copy) Run(id int64, epoch uint64, ops []Op, readOnly bool, atUs int64) (rs []Result, refused string) {
 	n := c.conns[id]
 	if n == nil {
-		return nil, BouncedConnection
+		return nil, RefusedConnection
 	}
 	n.usedUs = atUs
 	if epoch != c.Epoch {
-		return nil, BouncedEpoch
+		return nil, RefusedEpoch
 	}
 	if c.role() == "sealed" {
-		return nil, BouncedRole
+		return nil, RefusedRole
 	}
 	for _, o := range ops {
 		r := c.op(n, o, readOnly, atUs)
--- a/standin/databasecopy/server.go
+++ b/standin/databasecopy/server.go
@@ -34,7 +34,7 @@
 
 // RunReturn is its return.
 type RunReturn struct {
-	Bounced string   `json:"refused,omitempty"`
+	Refused string   `json:"refused,omitempty"`
 	Results []Result `json:"results,omitempty"`
 	Epoch   uint64   `json:"epoch"`
 	Applied int64    `json:"applied"`
@@ -278,7 +278,7 @@
 	if s.c.Received() != had {
 		err = s.keep(had, false)
 	}
-	out := RunReturn{Bounced: ref, Results: rs, Epoch: s.c.Epoch, Applied: s.c.Applied(), AtUs: nowUs()}
+	out := RunReturn{Refused: ref, Results: rs, Epoch: s.c.Epoch, Applied: s.c.Applied(), AtUs: nowUs()}
 	lost := s.faults.LoseReturns > 0
 	if lost {
 		s.faults.LoseReturns--
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -102,10 +102,10 @@
 		took, err := f.Configure(ctx, n, 300+int64(ft.At/time.Millisecond)%300)
 		return fmt.Sprintf("%s, in force everywhere after %d ms", n, took.Milliseconds()), err
 	case "crowd":
-		f.burden.Crowd(int(ft.Value), 4*time.Second)
+		f.load.Crowd(int(ft.Value), 4*time.Second)
 		return n, nil
 	case "move":
-		f.burden.Move(n)
+		f.load.Move(n)
 		return n, nil
 	case "roll":
 		return n, f.roll(ctx, n)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -60,7 +60,7 @@
 	free     []string // ports not taken yet
 	ips      int
 	zones    map[string]string // of pool nodes, by callers' address
-	burden   *callers.Run      // what callers do, once they run
+	load     *callers.Run      // what callers do, once they run
 	died     []string
 	mu       sync.Mutex
 	clean    cleanup.Stack
@@ -258,9 +258,9 @@
 	return nil
 }
 
-// Burden is what callers of the shape do, so many sessions and queries a second.
-func (f *Fleet) Burden(sessions int, rate float64, seed uint64) callers.Burden {
-	b := callers.Burden{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes,
+// Load is what callers of the shape do, so many sessions and queries a second.
+func (f *Fleet) Load(sessions int, rate float64, seed uint64) callers.Load {
+	b := callers.Load{Routes: f.Shape.groups(), Classes: map[string]map[string]string{}, Sessions: sessions, Rate: rate, Seed: seed, Nodes: f.Nodes,
 		Zones: f.Shape.Parts[0].Zones, Zone: f.zoneOf}
 	for _, p := range f.Shape.Parts {
 		for _, g := range p.Groups {
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -63,17 +63,17 @@
 }
 
 // TestProcessesThroughATakeover runs the small shape as real processes: the
-// primary is killed under burden, and the run goes on until writes are
+// primary is killed under load, and the run goes on until writes are
 // acknowledged again; then the old primary and an emptied control process come
 // back, and what callers were told is held against what the databases hold.
 func TestProcessesThroughATakeover(t *testing.T) {
 	ctx, f := started(t, 4)
 	lctx, end := context.WithCancel(ctx)
 	defer end()
-	r := callers.New(f.Burden(20, 60, 1))
+	r := callers.New(f.Load(20, 60, 1))
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Go(lctx) })
-	route := f.Burden(0, 0, 0).Routes[0]
+	route := f.Load(0, 0, 0).Routes[0]
 	acked := func(after int64) {
 		t.Helper()
 		if err := fleet.Until(ctx, time.Minute, func() error {
@@ -123,7 +123,7 @@
 }
 
 // TestTwoPartnersMoveByLanguage: two partners' fleets on one pool, real processes
-// under burden. A copy of one is booked for replacement by the other, confirmed by
+// under load. A copy of one is booked for replacement by the other, confirmed by
 // its owner alone, and carried out, then its primary is switched; meanwhile a disk
 // machine is lost whole, one way between two processes is cut, callers change zones,
 // a crowd comes, and boot files are rewritten well, badly and half.
@@ -131,7 +131,7 @@
 	ctx, f := shaped(t, "two", 4)
 	lctx, end := context.WithCancel(ctx)
 	defer end()
-	b := f.Burden(16, 40, 3)
+	b := f.Load(16, 40, 3)
 	r := f.Callers(b)
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Go(lctx) })
--- a/standin/fleet/observe.go
+++ b/standin/fleet/observe.go
@@ -200,10 +200,10 @@
 	return c
 }
 
-// Callers starts callers that faults can crowd and move; Go sends the burden.
-func (f *Fleet) Callers(b callers.Burden) *callers.Run {
-	f.burden = callers.New(b)
-	return f.burden
+// Callers starts callers that faults can crowd and move; Go sends the load.
+func (f *Fleet) Callers(b callers.Load) *callers.Run {
+	f.load = callers.New(b)
+	return f.load
 }
 
 // Describe prints how the fleet can be reached.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -143,7 +143,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	bounce := func(why string) {
+	refuse := func(why string) {
 		w.WriteHeader(http.StatusConflict)
 		json.NewEncoder(w).Encode(map[string]string{"error": why})
 	}
@@ -154,23 +154,23 @@
 	}
 	s.mu.Unlock()
 	if t.Epoch < e {
-		bounce("a later epoch was asked for")
+		refuse("a later epoch was asked for")
 		return
 	}
 	if t.Epoch == e && o != t.Target {
-		bounce("another target was asked for in this epoch")
+		refuse("another target was asked for in this epoch")
 		return
 	}
 	i := slices.IndexFunc(t.Members, func(m databaseclient.Member) bool { return m.Name == t.Target })
 	if i < 0 {
-		bounce("the target is not among the members")
+		refuse("the target is not among the members")
 		return
 	}
 	ctx, stop := context.WithTimeout(r.Context(), time.Second)
 	defer stop()
 	addr := t.Members[i].Address
 	if err := databasecopy.Call(ctx, "http://"+addr+"/v1/promote", map[string]any{"epoch": t.Epoch, "identity": t.Meant}, nil); err != nil {
-		bounce(err.Error())
+		refuse(err.Error())
 		return
 	}
 	var wg sync.WaitGroup
--- a/standin/run-fleet/main.go
+++ b/standin/run-fleet/main.go
@@ -1,4 +1,4 @@
-// Command run-fleet starts a whole fleet on this machine, puts a burden on it,
+// Command run-fleet starts a whole fleet on this machine, puts a load on it,
 // brings faults about and prints what callers saw as JSON. It exits with 1 if
 // anything happened that must never happen.
 package main
@@ -75,7 +75,7 @@
 			&cli.StringFlag{Name: "faults", Usage: "AT:ACTION:TARGET[:VALUE], separated by commas; a target is a process, primary@GROUP or replica@GROUP"},
 			&cli.StringFlag{Name: "folder", Usage: "where boot files, logs and data go (default: a new one, removed at the end unless something is wrong)"},
 			&cli.StringFlag{Name: "older", Usage: "folder with the programs of an earlier revision, which all but control-1 begin with"},
-			&cli.BoolFlag{Name: "hold", Usage: "send no burden; keep the fleet up until interrupted and print how to reach it"},
+			&cli.BoolFlag{Name: "hold", Usage: "send no load; keep the fleet up until interrupted and print how to reach it"},
 		},
 		Action: run,
 	}
@@ -168,9 +168,9 @@
 			}
 		}
 	}()
-	burden := f.Burden(ses, rate, c.Uint64("seed"))
-	burden.Nodes = func() []string { mu.Lock(); defer mu.Unlock(); return nodes }
-	r := f.Callers(burden)
+	load := f.Load(ses, rate, c.Uint64("seed"))
+	load.Nodes = func() []string { mu.Lock(); defer mu.Unlock(); return nodes }
+	r := f.Callers(load)
 	cpu, counts := f.CPU(), f.Counters(ctx)
 	began := time.Now()
 	var wg sync.WaitGroup
