--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -37,19 +37,18 @@
 
 // Process is one control process.
 type Process struct {
-	dbs    ports.Databases
-	prov   ports.Provider
-	boot   ports.Boot
-	core   *Core
-	store  *writer
-	links  *links.Links
-	in     chan any
-	began  time.Time
-	ids    atomic.Uint64
-	wait   sync.Map        // id to chan any
-	ctx    context.Context // ends with the process
-	stop   context.CancelFunc
-	folder string
+	dbs   ports.Databases
+	prov  ports.Provider
+	boot  ports.Boot
+	core  *Core
+	store *writer
+	links *links.Links
+	in    chan any
+	began time.Time
+	ids   atomic.Uint64
+	wait  sync.Map        // id to chan any
+	ctx   context.Context // ends with the process
+	stop  context.CancelFunc
 }
 
 var _ ports.ControlProcess = (*Process)(nil)
--- a/fleetsimulation/databases.go
+++ b/fleetsimulation/databases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 
 	"stoneford/ports"
@@ -35,7 +34,6 @@
 	busy   int // slots in use
 	line   []job
 	conns  []*dbConn
-	lives  int
 
 	primary bool
 	term    uint64
@@ -272,44 +270,44 @@
 }
 
 // receive takes a primary's log; false says that it does not.
-func (o *DB) receive(log []*entry, term uint64) bool {
-	if o.primary || term < o.term || o.deaf || o.held > 0 && o.f.Plan.Plant != HoldIgnored {
+func (d *DB) receive(log []*entry, term uint64) bool {
+	if d.primary || term < d.term || d.deaf || d.held > 0 && d.f.Plan.Plant != HoldIgnored {
 		return false
 	}
-	o.term = term
-	n := min(len(o.log), len(log))
-	if n > 0 && o.log[n-1] != log[n-1] {
-		for n > 0 && o.log[n-1] != log[n-1] {
+	d.term = term
+	n := min(len(d.log), len(log))
+	if n > 0 && d.log[n-1] != log[n-1] {
+		for n > 0 && d.log[n-1] != log[n-1] {
 			n--
 		}
 	}
-	if n < len(o.log) {
-		if n == len(log) && o.log[n].at.Term == term {
+	if n < len(d.log) {
+		if n == len(log) && d.log[n].at.Term == term {
 			return true // an older offer of the same log
 		}
-		o.truncate(n)
+		d.truncate(n)
 	}
-	if len(log) > len(o.log) {
-		o.log = append(o.log[:len(o.log):len(o.log)], log[len(o.log):]...)
-		o.applyLater(len(o.log))
+	if len(log) > len(d.log) {
+		d.log = append(d.log[:len(d.log):len(d.log)], log[len(d.log):]...)
+		d.applyLater(len(d.log))
 	}
 	return true
 }
 
-func (o *DB) truncate(n int) {
-	o.f.say("%s is cut back from %v to %d", o.id, o.at(len(o.log)), n)
-	o.log = slices.Clone(o.log[:n])
-	o.applied = min(o.applied, n)
-	o.cutBack = o.f.Now + o.f.Between(100_000, 500_000)
-	o.later(o.cutBack-o.f.Now, o.pump)
+func (d *DB) truncate(n int) {
+	d.f.say("%s is cut back from %v to %d", d.id, d.at(len(d.log)), n)
+	d.log = slices.Clone(d.log[:n])
+	d.applied = min(d.applied, n)
+	d.cutBack = d.f.Now + d.f.Between(100_000, 500_000)
+	d.later(d.cutBack-d.f.Now, d.pump)
 }
 
-func (o *DB) applyLater(n int) {
-	want := o.log[n-1]
-	us := int64(float64(o.f.Between(5_000, 40_000)) * o.lag)
-	o.later(us, func() {
-		if n <= len(o.log) && o.log[n-1] == want {
-			o.applied = max(o.applied, n)
+func (d *DB) applyLater(n int) {
+	want := d.log[n-1]
+	us := int64(float64(d.f.Between(5_000, 40_000)) * d.lag)
+	d.later(us, func() {
+		if n <= len(d.log) && d.log[n-1] == want {
+			d.applied = max(d.applied, n)
 		}
 	})
 }
@@ -394,343 +392,6 @@
 
 // Connections.
 
-type dbConn struct {
-	d        *DB
-	s        *stream // nil: of a control process
-	who      string
-	open     bool
-	vals     map[string]string
-	prepared map[string]shape
-	state    ports.State
-	tx       *dbTx
-	q        []ports.Op
-	running  bool
-	closing  bool // closed at the far end: what came before is still run
-}
-
-type shape struct {
-	text   string
-	writes bool
-}
-
-type dbTx struct {
-	begin  *Statement
-	plain  bool
-	term   uint64
-	writes []*Statement
-}
-
-func (d *DB) accept(group, id string, s *stream) (ports.Code, *dbConn) {
-	switch {
-	case group != d.group.name || id != "" && id != d.id:
-		return ports.WrongInstance, nil
-	case len(d.conns) >= d.group.limit:
-		return ports.TooMany, nil
-	}
-	c := &dbConn{d: d, s: s, open: true, vals: map[string]string{}, prepared: map[string]shape{}}
-	d.conns = append(d.conns, c)
-	d.f.truth.connects++
-	return ports.Done, c
-}
-
-// hangUp closes a connection once what came before has run.
-func (c *dbConn) hangUp() {
-	c.closing = true
-	if !c.running && len(c.q) == 0 {
-		c.drop()
-	}
-}
-
-// drop closes a connection at once; its transaction is rolled back.
-func (c *dbConn) drop() {
-	if !c.open {
-		return
-	}
-	c.open, c.tx, c.q = false, nil, nil
-	c.d.conns = slices.DeleteFunc(c.d.conns, func(o *dbConn) bool { return o == c })
-}
-
-func (c *dbConn) push(ops []ports.Op, n *Node) {
-	for _, o := range ops {
-		if !o.Own {
-			c.d.f.truth.arrived(c.d, n, o)
-		}
-	}
-	c.q = append(c.q, ops...)
-	c.next()
-}
-
-func (c *dbConn) next() {
-	if c.running || !c.open {
-		return
-	}
-	if len(c.q) == 0 {
-		if c.closing {
-			c.drop()
-		}
-		return
-	}
-	o := c.q[0]
-	c.q = c.q[1:]
-	c.running = true
-	gen := c.d.gen
-	c.exec(o, func(a ports.Answer) {
-		if !c.d.up || c.d.gen != gen {
-			return
-		}
-		c.running = false
-		if !c.open {
-			return
-		}
-		a.State, a.Position = c.state, c.d.position()
-		if c.s != nil {
-			c.reply(o, a)
-		}
-		c.next()
-	})
-}
-
-// reply sends an answer, unless it is to be lost.
-func (c *dbConn) reply(o ports.Op, a ports.Answer) {
-	d := c.d
-	if !o.Own && o.St.Kind != ports.Begin && o.St.Kind != ports.BeginRead && d.f.Chance(d.lose) {
-		if d.loseHow == 0 {
-			return // never comes
-		}
-		s := c.s
-		c.drop()
-		d.f.net.carry(d.ip, s.n.ip, func() { s.lost(true, "reset") })
-		return
-	}
-	c.s.answer(a)
-}
-
-func bad(code ports.Code, text string) ports.Answer {
-	return ports.Answer{Code: code, Text: text, Body: []byte("error " + text)}
-}
-
-// lostLead says that a transaction that may write stands on a database that
-// leads no more.
-func (c *dbConn) lostLead() bool {
-	return c.tx != nil && c.tx.plain && (!c.d.primary || c.d.term != c.tx.term)
-}
-
-func (c *dbConn) lacks(p ports.Position) bool {
-	return p.Known() && c.d.f.Plan.Plant != AfterIgnored && c.d.position().Before(p)
-}
-
-func (c *dbConn) fail(code ports.Code, text string) ports.Answer {
-	if c.tx != nil {
-		c.state = ports.Broken
-	}
-	return bad(code, text)
-}
-
-func (c *dbConn) exec(o ports.Op, done func(ports.Answer)) {
-	d, f := c.d, c.d.f
-	st := o.St
-	if o.Own {
-		c.execOwn(o, done)
-		return
-	}
-	truth := f.truth.statement(st.ID)
-	if truth == nil {
-		f.truth.bad("UNASKED: %s was sent statement %q, which no caller sent", d.id, st.ID)
-		done(bad(ports.Malformed, "unknown"))
-		return
-	}
-	if string(st.Raw) != truth.raw {
-		f.truth.bad("UNASKED: %s was sent %q as %q", d.id, truth.raw, st.Raw)
-	}
-	if c.state == ports.Broken {
-		if st.Kind == ports.Commit {
-			c.tx, c.state = nil, ports.Idle
-			done(bad(ports.RolledBack, "failed before"))
-			return
-		}
-		done(bad(ports.Malformed, "only its end is taken"))
-		return
-	}
-	switch st.Kind {
-	case ports.Begin, ports.BeginRead:
-		us := int64(50)
-		f.After(us, func() {
-			switch {
-			case c.state != ports.Idle:
-				done(bad(ports.Malformed, "inside a transaction"))
-			case c.lacks(o.After):
-				if f.badBeginBreaks {
-					c.state = ports.Broken
-				}
-				done(bad(ports.Lagging, d.id))
-			case st.Kind == ports.Begin && !d.primary:
-				if f.badBeginBreaks {
-					c.state = ports.Broken
-				}
-				done(bad(ports.ReadOnly, d.id))
-			default:
-				c.tx = &dbTx{begin: truth, plain: st.Kind == ports.Begin, term: d.term}
-				c.state = ports.Open
-				done(ports.Answer{Body: []byte("complete -")})
-			}
-		})
-	case ports.Read, ports.Write, ports.Run:
-		writes := st.Kind == ports.Write
-		if st.Kind == ports.Run {
-			sh, ok := c.prepared[o.Name]
-			if !ok {
-				done(c.fail(ports.NoStatement, "no such name"))
-				return
-			}
-			writes = sh.writes
-			f.truth.ranShape(d, truth, sh)
-		}
-		x := c.tx
-		if !d.work(truth.workUs, false, func() {
-			if c.tx != x {
-				return // rolled back meanwhile
-			}
-			c.execRun(o, truth, writes, done)
-		}) {
-			done(bad(ports.Busy, "the line is full"))
-		}
-	case ports.Commit:
-		if c.tx == nil {
-			done(bad(ports.Malformed, "no transaction"))
-			return
-		}
-		if !d.work(f.Between(500, 2_000), false, func() { c.execCommit(truth, done) }) {
-			done(bad(ports.Busy, "the line is full"))
-		}
-	default:
-		f.truth.bad("%s was sent %q", d.id, truth.raw)
-		done(bad(ports.Malformed, "not a statement"))
-	}
-}
-
-func (c *dbConn) execRun(o ports.Op, st *Statement, writes bool, done func(ports.Answer)) {
-	d, f := c.d, c.d.f
-	switch {
-	case c.lostLead():
-		done(c.fail(ports.ReadOnly, d.id))
-		return
-	case c.lacks(o.After):
-		done(c.fail(ports.Lagging, d.id))
-		return
-	case writes && (!d.primary || c.tx != nil && !c.tx.plain):
-		done(c.fail(ports.ReadOnly, d.id))
-		return
-	}
-	f.truth.ran(c, st)
-	if f.Chance(d.fail) {
-		if writes && c.tx == nil && f.Chance(0.5) {
-			d.append(st, []*Statement{st})
-		}
-		done(c.fail(ports.Failed, "it failed"))
-		return
-	}
-	if f.Chance(f.Plan.Conflicts) {
-		c.state = ports.Idle
-		if c.tx != nil {
-			c.state = ports.Broken
-		}
-		done(bad(ports.RolledBack, "a conflict"))
-		return
-	}
-	body := f.truth.result(st, d)
-	switch {
-	case writes && c.tx != nil:
-		c.tx.writes = append(c.tx.writes, st)
-		done(ports.Answer{Stamped: true, Body: body})
-	case writes:
-		e := d.append(st, []*Statement{st})
-		if f.Plan.Plant == BusyThatRan && f.Chance(0.05) {
-			done(bad(ports.Busy, "planted"))
-			return
-		}
-		if f.Plan.Plant == RunsTwice && f.Chance(0.01) {
-			d.append(st, []*Statement{st})
-		}
-		c.await(e, body, done)
-	default:
-		done(ports.Answer{Stamped: true, Body: body})
-	}
-}
-
-func (c *dbConn) await(e *entry, body []byte, done func(ports.Answer)) {
-	d := c.d
-	d.confirmed(e, func(ok bool) {
-		if ok {
-			done(ports.Answer{Stamped: true, Body: body})
-			return
-		}
-		// Nobody can tell: it breaks off.
-		if s := c.s; s != nil {
-			c.drop()
-			d.f.net.carry(d.ip, s.n.ip, func() { s.lost(true, "reset") })
-		}
-	})
-}
-
-func (c *dbConn) execCommit(st *Statement, done func(ports.Answer)) {
-	d, f := c.d, c.d.f
-	x := c.tx
-	if x == nil { // dropped meanwhile
-		done(bad(ports.RolledBack, "gone"))
-		return
-	}
-	if len(x.writes) > 0 && c.lostLead() {
-		done(c.fail(ports.ReadOnly, d.id))
-		return
-	}
-	f.truth.ran(c, st)
-	c.tx, c.state = nil, ports.Idle
-	if f.Chance(f.Plan.Conflicts) {
-		done(bad(ports.RolledBack, "a conflict"))
-		return
-	}
-	body := f.truth.result(st, d)
-	if len(x.writes) == 0 {
-		done(ports.Answer{Stamped: true, Body: body})
-		return
-	}
-	c.await(d.append(st, x.writes), body, done)
-}
-
-func (c *dbConn) execOwn(o ports.Op, done func(ports.Answer)) {
-	d, f := c.d, c.d.f
-	st := o.St
-	name := st.Name
-	if o.Name != "" {
-		name = o.Name
-	}
-	f.After(30, func() {
-		ok := ports.Answer{Body: []byte("complete -")}
-		if c.state == ports.Broken && st.Kind != ports.Rollback {
-			done(bad(ports.Malformed, "only its end is taken"))
-			return
-		}
-		switch st.Kind {
-		case ports.SetValue:
-			c.vals = maps.Clone(c.vals)
-			c.vals[name] = st.Text
-		case ports.Prepare:
-			c.prepared[name] = shape{st.Text, st.Writes}
-		case ports.Drop:
-			delete(c.prepared, name)
-		case ports.Reset:
-			if f.Plan.Plant != ResetIgnored {
-				c.vals, c.prepared = map[string]string{}, map[string]shape{}
-			}
-		case ports.Rollback:
-			c.tx, c.state = nil, ports.Idle
-		default:
-			f.truth.bad("%s was sent an own statement of kind %d", d.id, st.Kind)
-		}
-		done(ok)
-	})
-}
-
 // command runs Status, Hold, Resume and StepDown.
 func (d *DB) command(o ports.Op, done func(ports.DatabaseStatus, ports.Code)) {
 	if !d.work(1_000, false, func() {
@@ -760,96 +421,4 @@
 
 // Announcements.
 
-func (d *DB) announceLoop(gen int) {
-	if !d.up || d.gen != gen {
-		return
-	}
-	d.announce()
-	d.f.After(d.f.Between(1_100_000, 1_300_000), func() { d.announceLoop(gen) })
-}
-
-// announce tells a control process how things stand, and the next one where
-// nobody acknowledges.
-func (d *DB) announce() {
-	if !d.up || d.ended {
-		return
-	}
-	if d.calling {
-		d.again = true
-		return
-	}
-	d.calling = true
-	d.tell(0)
-}
-
-func (d *DB) tell(tries int) {
-	f := d.f
-	if d.target == nil || tries > 0 {
-		d.target = f.controls[f.R.IntN(len(f.controls))]
-	}
-	d.call++
-	i := ports.Instance{ID: d.id, Group: d.group.name, Address: d.addr, Zone: d.zone, Capacity: slots, Leaving: d.leaving, Primary: d.primary, Call: d.call}
-	leaving, gen := d.leaving, d.gen
-	ended := false
-	end := func(ok bool) {
-		if ended || !d.up || d.gen != gen {
-			return
-		}
-		ended = true
-		switch {
-		case ok:
-			if leaving && d.ackedUs == 0 {
-				d.ackedUs = f.Now
-				f.truth.leavingAcked(d)
-			}
-			d.calling = false
-			if d.again {
-				d.again = false
-				d.announce()
-			}
-		case tries < 8:
-			f.After(int64(tries)*100_000, func() {
-				if d.up && d.gen == gen {
-					d.tell(tries + 1)
-				}
-			})
-		default:
-			d.calling, d.again = false, false
-		}
-	}
-	f.callControl(d.ip, d.target, func(c *Control, id uint64) { c.announce(id, i) }, func(v any) { a, _ := v.(announced); end(bool(a)) })
-	f.After(1_000_000, func() { end(false) })
-	if f.Chance(f.lateCalls) {
-		// The same word once more, late.
-		c, at := d.target, f.Between(300_000, 3_000_000)
-		f.After(at, func() {
-			f.callControl(d.ip, c, func(c *Control, id uint64) { c.announce(id, i) }, func(any) {})
-		})
-	}
-}
-
-// endForGood is a planned end: the last word, then nobody is there.
-func (d *DB) endForGood() {
-	if !d.up || d.goneSent {
-		return
-	}
-	f := d.f
-	d.goneSent = true
-	d.call++
-	i := ports.Instance{ID: d.id, Leaving: true, Gone: true, Call: d.call}
-	f.callControl(d.ip, f.controls[f.R.IntN(len(f.controls))], func(c *Control, id uint64) { c.announce(id, i) }, func(any) {})
-	d.later(f.Between(200_000, 600_000), func() { f.remove(d) })
-}
-
-// remove takes a database out for good.
-func (f *Fleet) remove(d *DB) {
-	d.crash(false)
-	d.ended = true
-	if f.dbAt[d.addr] == d {
-		delete(f.dbAt, d.addr)
-	}
-	d.group.dbs = slices.DeleteFunc(d.group.dbs, func(o *DB) bool { return o == d })
-	f.say("%s is gone", d.id)
-}
-
 func (d *DB) String() string { return fmt.Sprintf("%s(%d, %v)", d.id, d.term, d.at(len(d.log))) }
--- a/fleetsimulation/nodes.go
+++ b/fleetsimulation/nodes.go
@@ -34,8 +34,6 @@
 	ready    bool   // as the platform sees it
 	misses   int
 	startUs  int64
-	stepping []any
-	busy     bool
 }
 
 func (f *Fleet) startNode(n *Node) {
--- a/fleetsimulation/process.go
+++ b/fleetsimulation/process.go
@@ -72,8 +72,7 @@
 		at += p.f.Between(p.slowUs/2, p.slowUs*3/2)
 	}
 	gen := p.gen
-	var run func()
-	run = func() {
+	run := func() {
 		if !p.up || p.gen != gen {
 			return
 		}
--- a/pool/callers.go
+++ b/pool/callers.go
@@ -61,7 +61,7 @@
 	json.NewEncoder(w).Encode(r)
 }
 
-func (p *Process) bounce(w http.ResponseWriter, c result.Code, detail string) {
+func (p *Process) refuse(w http.ResponseWriter, c result.Code, detail string) {
 	p.give(w, reply{Code: c, Detail: detail, Outcome: result.NothingKept})
 }
 
@@ -77,9 +77,9 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		p.bounce(w, result.TooLarge, "")
+		p.refuse(w, result.TooLarge, "")
 	case err != nil:
-		p.bounce(w, result.BadJSON, err.Error())
+		p.refuse(w, result.BadJSON, err.Error())
 	}
 	return err == nil
 }
@@ -105,16 +105,16 @@
 	}
 	switch {
 	case p.stopping.Load():
-		p.bounce(w, result.Stopping, "")
+		p.refuse(w, result.Stopping, "")
 		return
 	case len(rs) == 0 || ok && g == nil:
 		p.give(w, reply{Code: result.NotConfigured, Outcome: result.NothingKept, RetryAfterUs: 300_000})
 		return
 	case !ok:
-		p.bounce(w, result.UnknownRoute, b.Route)
+		p.refuse(w, result.UnknownRoute, b.Route)
 		return
 	case b.Token.Group != "" && b.Token.Group != rt.Group:
-		p.bounce(w, result.BadToken, "of "+b.Token.Group)
+		p.refuse(w, result.BadToken, "of "+b.Token.Group)
 		return
 	}
 	id := b.Session
@@ -122,7 +122,7 @@
 		id = rand.Text()
 	}
 	if _, taken := p.sessions.LoadOrStore(id, &routed{r: g, route: b.Route}); taken {
-		p.bounce(w, result.SessionExists, id)
+		p.refuse(w, result.SessionExists, id)
 		return
 	}
 	g.l.Post(querytable.Open{Session: id, Values: b.Values, Prepared: b.Prepared, Token: b.Token})
@@ -151,7 +151,7 @@
 	id := r.PathValue("id")
 	v, ok := p.sessions.Load(id)
 	if !ok {
-		p.bounce(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
+		p.refuse(w, lo.Ternary(p.stopping.Load(), result.Stopping, result.UnknownSession), id)
 		return id, nil
 	}
 	return id, v.(*routed)
@@ -163,7 +163,7 @@
 		return
 	}
 	if !p.forget(id, s) {
-		p.bounce(w, result.UnknownSession, id)
+		p.refuse(w, result.UnknownSession, id)
 		return
 	}
 	p.give(w, reply{Outcome: result.Done, Session: id})
@@ -193,7 +193,7 @@
 	Commit     bool                   `json:"commit"`
 	Rollback   bool                   `json:"rollback"`
 	Statements []querytable.Statement `json:"statements"`
-	ExpiryUs   int64                  `json:"expiry_us"`
+	DeadlineUs int64                  `json:"expiry_us"`
 }
 
 func (p *Process) querySession(w http.ResponseWriter, r *http.Request) {
@@ -206,15 +206,15 @@
 		return
 	}
 	if rt, ok := (*p.routes.Load())[s.route]; !ok {
-		p.bounce(w, result.UnknownRoute, s.route)
+		p.refuse(w, result.UnknownRoute, s.route)
 		return
 	} else if !slices.Contains(rt.Classes, b.Class) {
-		p.bounce(w, result.ClassNotOnRoute, b.Class)
+		p.refuse(w, result.ClassNotOnRoute, b.Class)
 		return
 	}
 	n := p.queryID.Add(1)
 	p.returned(w, id, s, s.r.ask(n, querytable.Query{ID: n, Session: id, Name: b.Query, Class: b.Class, ReadOnly: b.ReadOnly, Begin: b.Begin,
-		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, ExpiryUs: b.ExpiryUs}))
+		Commit: b.Commit, Rollback: b.Rollback, Statements: b.Statements, DeadlineUs: b.DeadlineUs}))
 }
 
 func (p *Process) returned(w http.ResponseWriter, session string, s *routed, v querytable.Return) {
@@ -226,7 +226,7 @@
 }
 
 // ready says whether the platform may hand this node connections.
-func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
 	gs := *p.groups.Load()
 	ok := len(gs) > 0 && !p.stopping.Load()
 	waiting := []string{}
@@ -244,7 +244,7 @@
 	json.NewEncoder(w).Encode(map[string]any{"ready": ok, "stopping": p.stopping.Load(), "waiting_for": waiting})
 }
 
-func (p *Process) counts(w http.ResponseWriter, r *http.Request) {
+func (p *Process) counts(w http.ResponseWriter, _ *http.Request) {
 	gs := map[string]*tableView{}
 	for k, g := range *p.groups.Load() {
 		gs[k] = g.counts.Load()
--- a/pool/core.go
+++ b/pool/core.go
@@ -90,7 +90,7 @@
 	reportEvery   = 500_000
 	groupEvery    = 10_000
 	drainEvery    = 100_000
-	readExpiry    = 2_000_000
+	readDeadline  = 2_000_000
 )
 
 type group struct {
@@ -185,7 +185,7 @@
 		}
 	case *schema.Envelope_PermitGive:
 		if g := c.groups[b.PermitGive.Group]; g != nil {
-			g.asker.Give(now, b.PermitGive)
+			g.asker.Give(b.PermitGive)
 			c.nextGrp = 0
 		}
 	}
@@ -231,7 +231,7 @@
 		if !c.reading[key] {
 			c.reading[key] = true
 			c.names++
-			c.proposed(now, c.proposer.Ask(now, paxos.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Deadline: now + readExpiry}))
+			c.proposed(now, c.proposer.Ask(now, paxos.Change{Name: fmt.Sprintf("%s#%d#%d", c.self, c.run, c.names), Key: key, Read: true, Deadline: now + readDeadline}))
 		}
 		return
 	}
@@ -384,11 +384,11 @@
 		ids[m.Database] = m.Identity
 	}
 	for _, m := range cf.Groups[g.name].Members {
-		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Permit: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
+		w.Members = append(w.Members, querytable.Member{Name: m, Identity: ids[m], Address: cf.Databases[m].Address, Leased: g.asker.Cap(now, m), UntilUs: g.asker.UntilUs(),
 			Drained: bookings.Drained(c.cal, g.partner+"/"+m), Closed: bookings.Closed(c.cal, g.partner+"/"+m)})
 	}
 	for n, s := range cf.Classes {
-		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, ExpiryUs: s.ExpiryUs}
+		w.Classes[n] = querytable.Class{Name: n, Kind: s.Kind, StaleUs: s.StaleUs, MarginUs: s.MarginUs, WaitUs: s.WaitUs, DeadlineUs: s.ExpiryUs}
 	}
 	for _, r := range cf.Routes {
 		if r.Group == g.name {
--- a/pool/process.go
+++ b/pool/process.go
@@ -47,7 +47,6 @@
 	node   *loop.Loop
 	links  *links.Links
 	dbs    *databaseclient.Client
-	mu     sync.Mutex
 	tables map[string]*runner
 	// routes and tables are read on a query's path and replaced whole.
 	routes   atomic.Pointer[map[string]Route]
@@ -292,7 +291,7 @@
 	}
 	out, err := r.p.dbs.Run(ctx, f.Address, f.ID, f.Epoch, f.ReadOnly, ops)
 	e := querytable.Ran{Run: f.Run, Err: errText(err), Left: err != nil && !errors.Is(err, databaseclient.ErrNeverLeft),
-		Bounced: out.Bounced, Epoch: out.Epoch, Applied: out.Applied}
+		Refused: out.Bounced, Epoch: out.Epoch, Applied: out.Applied}
 	for _, s := range out.Results {
 		e.Results = append(e.Results, querytable.Result(s))
 	}
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -24,7 +24,6 @@
 	nodes   int
 	phases  map[string]ports.Phase
 	leaving bool
-	began   int64
 }
 
 // readyUs is how long after its lease a node still calls itself ready: cut off
--- a/sessionpool/floor_test.go
+++ b/sessionpool/floor_test.go
@@ -24,9 +24,7 @@
 
 func newVoters(t *testing.T) *voters {
 	b := ports.Boot{Name: "pool-1", Zone: "a", IP: "10.0.0.9", PortFirst: 7000}
-	for _, v := range voterNames {
-		b.Seeds = append(b.Seeds, v)
-	}
+	b.Seeds = append(b.Seeds, voterNames...)
 	return &voters{t: t, c: NewCore(b, 1, 1, sessiontable.Options{}), now: 1_000_000}
 }
 
--- a/sessiontable/heap.go
+++ b/sessiontable/heap.go
@@ -8,9 +8,8 @@
 	at   func(T) *int
 }
 
-func (h *heap[T]) len() int     { return len(h.xs) }
-func (h *heap[T]) top() T       { return h.xs[0] }
-func (h *heap[T]) has(x T) bool { return *h.at(x) != 0 }
+func (h *heap[T]) len() int { return len(h.xs) }
+func (h *heap[T]) top() T   { return h.xs[0] }
 
 func (h *heap[T]) push(x T) {
 	h.xs = append(h.xs, x)
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -167,7 +167,6 @@
 	bounced bool
 	calls   int
 	tidied  map[string]bool
-	plan    int64
 	leaving map[string]int64
 	begun   int64                     // when the change under way was first seen here
 	parted  map[string]int64          // members that are gone, and since when
