--- a/paxos/proposer.go
+++ b/paxos/proposer.go
@@ -246,7 +246,7 @@
 		accept := &schema.Accept{Key: a.ch.Key, Attempt: a.number, Ballot: a.ballot, Value: a.value, Membership: p.membership.Number}
 		promise := a.promises[address]
 		holds := promise != nil && Same(promise.Accepted, held) || promise == nil && a.tries == 0
-		if !a.mine && a.value != nil && holds {
+		if !a.mine && !a.ch.Settle && a.value != nil && holds {
 			accept.Value, accept.Same = nil, copyBallot(held)
 		}
 		fx.Send = append(fx.Send, step.Send{To: address, Env: &schema.Envelope{From: p.self, Body: &schema.Envelope_Accept{Accept: accept}}})
