A chosen database that is gone holds no change up; databases that move are passed on

Ruled out: memberships (the register was agreed throughout). Change: what is surely gone is not waited for; the first call of a database that announced itself elsewhere before is passed on at once.

--- a/coordinator/announcements.go
+++ b/coordinator/announcements.go
@@ -37,10 +37,14 @@
 	}
 	r := voterview.Record(e.Instance)
 	told := c.merge(now, []*schema.Record{r})
+	// One that announced itself elsewhere until now is passed on at once: whoever it
+	// told before may be lost, and the others count its silence.
+	moved := now-c.direct[e.Instance.ID] > movedFactor*c.beatUs()
+	c.direct[e.Instance.ID] = now
 	c.beats[e.Instance.ID]++
 	rests := e.Instance.Leaving || e.Instance.Gone
 	contact := c.inContact(now)
-	pass := told || rests || !contact || c.beats[e.Instance.ID] >= renewEvery
+	pass := told || moved || rests || !contact || c.beats[e.Instance.ID] >= renewEvery
 	if pass {
 		c.beats[e.Instance.ID] = 0
 	}
@@ -172,5 +176,6 @@
 		delete(c.group(i.Group).insts, i.ID)
 		c.insts.Forget(k)
 		delete(c.seqs, k)
+		delete(c.direct, i.ID)
 	}
 }
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -105,6 +105,7 @@
 	ownerSilent   = 1_300_000 // a control process that was not heard so long carries nothing out
 	catchUpEvery  = 400_000
 	renewEvery    = 3 // announcements that say nothing new, between those passed on
+	movedFactor   = 2 // announcements that a database did not make here, until it counts as new here
 	goneFactor    = 6 // announcements missed until a database counts as gone
 	forgetGone    = 120_000_000
 	defaultBeatUs = 1_200_000
@@ -140,6 +141,7 @@
 	calls         map[uint64]*call
 	orders        map[string]*order // by name, while they are decided here
 	beats         map[string]int    // announcements of a database since one was passed on
+	direct        map[string]int64  // when a database announced itself here last
 	names         uint64
 	number        uint64
 	active        uint64 // number of the membership that the acceptor votes under, as far as it is on disk
@@ -179,7 +181,7 @@
 		reconfigurer: paxos.NewReconfigurer(self, fmt.Sprint(run)),
 		view:         voterview.New(self, b.SeedVoters(), b.Zone, b.Name, "control", run), insts: records.New(self),
 		seqs: map[string]uint64{}, revisions: map[string]toldRevision{}, follow: map[string]*follower{}, groups: map[string]*group{},
-		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, calls: map[uint64]*call{}, orders: map[string]*order{}, beats: map[string]int{}, all: map[string]uint64{}}
+		pending: map[string]func(int64, paxos.Outcome){}, catching: map[string]int64{}, acks: map[uint64]*ack{}, calls: map[uint64]*call{}, orders: map[string]*order{}, beats: map[string]int{}, direct: map[string]int64{}, all: map[string]uint64{}}
 	c.proposer.Known = v.Cell
 	c.number = run // a return to an earlier run's announcement ends none of this one's
 	c.cells = map[string]*schema.Cell{}
--- a/coordinator/membership_test.go
+++ b/coordinator/membership_test.go
@@ -352,3 +352,28 @@
 		}
 	}
 }
+
+// TestADatabaseThatMovesIsPassedOn: a database whose control process is lost
+// announces itself to another one, which tells the others with the first call: they
+// have counted its silence meanwhile.
+func TestADatabaseThatMovesIsPassedOn(t *testing.T) {
+	c := startCluster(t, 11, 3, 3, 1)
+	c.n.Drop, c.n.Double = 0, 0
+	vs := c.settled(t, 3)
+	call := uint64(0)
+	beat := func(a string) {
+		call++
+		c.step(a, Announce{ID: call, Instance: ports.Instance{ID: "db", Group: "g", Address: "10.1.1.1:1", Zone: "z", Primary: true, Call: call}})
+	}
+	for range 6 {
+		beat(vs[0])
+		c.run(defaultBeatUs)
+	}
+	c.kill(vs[0], false)
+	c.run(4_000_000)
+	beat(vs[1])
+	c.run(200_000)
+	if age := c.ms[vs[2]].core.insts.AgeUs(c.w.Now, "database/db"); age > 300_000 {
+		t.Fatalf("another process heard of it %d ms ago", age/1000)
+	}
+}
--- a/switchover/switchover.go
+++ b/switchover/switchover.go
@@ -804,7 +804,7 @@
 		return false
 	}
 	for _, i := range missing {
-		if s := g.m[i.ID]; s == nil && !in.left(i.ID) || s != nil && (s.err == 0 || now-s.err < silentAfter) {
+		if !g.givenUp(now, in, i.ID, silentAfter) {
 			g.wake(now + holdEvery)
 			return false
 		}
@@ -812,6 +812,16 @@
 	return !g.m[best.ID].status.Received.Before(in.Acked)
 }
 
+// givenUp reports whether a database is not waited for any more: it is surely gone,
+// or has not answered for a time.
+func (g *Group) givenUp(now int64, in Input, id string, after int64) bool {
+	if in.left(id) {
+		return true
+	}
+	s := g.m[id]
+	return s != nil && s.err > 0 && now-s.err >= after
+}
+
 // promoting sees the agreed target through.
 func (g *Group) promoting(now int64, in Input) {
 	t, ok := find(in, in.State.Primary)
@@ -856,7 +866,7 @@
 			return
 		}
 		for _, i := range missing {
-			if s := g.m[i.ID]; s == nil && !in.left(i.ID) || s != nil && (s.err == 0 || now-s.err < goneGrace) {
+			if !g.givenUp(now, in, i.ID, goneGrace) {
 				g.wake(now + holdEvery)
 				return
 			}
