--- a/paxos/membership_test.go
+++ b/paxos/membership_test.go
@@ -13,11 +13,11 @@
 	"stoneford/schema"
 )
 
-// scheduleSeeds is how many seeds a test of schedules runs.
 // fewestSeeds are run under the race detector too: with fewer, the share of the runs
 // that end beyond the bound says little.
 const fewestSeeds = 100
 
+// scheduleSeeds is how many seeds a test of schedules runs.
 func scheduleSeeds(seeds int) uint64 {
 	if testing.Short() {
 		seeds /= 5
