--- a/control/contact.go
+++ b/control/contact.go
@@ -5,10 +5,30 @@
 	"stoneford/result"
 )
 
-// reachesMajority says that no more voters are known to be silent than a majority
-// can do without. What is told to operators rests on a reading of its own; this is
+// aloneAfter is how long so many voters have to be silent until calls are refused at
+// once: a few lost envelopes have a voter suspected for a moment.
+const aloneAfter = 500_000
+
+// watchMajority notes since when this process hears no majority.
+func (c *Core) watchMajority(now int64) {
+	switch {
+	case c.hearsMajority():
+		c.aloneSince = 0
+	case c.aloneSince == 0:
+		c.aloneSince = now
+	}
+}
+
+// reachesMajority reports whether this process has not been without a majority for
+// some time. What is told to operators rests on a reading of its own; this is
 // only how a process that is cut off refuses at once (design 17).
 func (c *Core) reachesMajority() bool {
+	return c.aloneSince == 0 || c.lastTick-c.aloneSince < aloneAfter
+}
+
+// hearsMajority reports whether no more voters are known to be silent than a majority
+// can do without.
+func (c *Core) hearsMajority() bool {
 	silent := 0
 	for _, v := range c.boot.Seeds {
 		if v != c.self && c.down[v] {
--- a/control/core.go
+++ b/control/core.go
@@ -160,7 +160,9 @@
 	nextDuty int64
 	nextAnn  int64
 	nextRos  int64
-	fx       Effects
+	// since when no majority is heard, 0 if one is; and when that was last looked at
+	aloneSince, lastTick int64
+	fx                   Effects
 }
 
 // NewCore makes a control process; run must be greater than any earlier run's
@@ -437,6 +439,8 @@
 func (c *Core) alive(o string) bool { return o == c.self && !c.leaving || o != c.self && !c.down[o] }
 
 func (c *Core) tick(now int64) {
+	c.lastTick = now
+	c.watchMajority(now)
 	c.voted(now, c.voter.Tick(now))
 	c.reconfigure(now)
 	if c.voter.Votes() && !c.formed {
