--- a/coordinator/contact_test.go
+++ b/coordinator/contact_test.go
@@ -47,7 +47,7 @@
 	refuses int64
 	from    bool
 	to      bool
-	node    *fedNode
+	node    *learner // hears, while the cut lasts, from that member alone
 
 	base    uint64 // newest revision that was acknowledged
 	last    uint64 // newest number used
@@ -71,36 +71,13 @@
 	d.broken = append(d.broken, rule+": "+fmt.Sprintf(f, a...))
 }
 
-// fedNode is a pool node that hears from the member that is cut off alone.
-type fedNode struct {
-	at   string
-	view *voterview.View
-}
-
 func newCutDay(t *testing.T, seed uint64) *cutDay {
 	c, k := settled(t, seed)
 	d := &cutDay{cluster: c, k: k, base: 1, last: 1}
 	i := int(seed) % len(c.order)
 	d.off = c.order[i]
 	d.others = slices.Delete(slices.Clone(c.order), i, i+1)
-	d.node = &fedNode{at: "10.0.9.9:7441"}
-	d.node.view = voterview.New(d.node.at, c.order, "z", "node", "pool", 77)
-	take := c.n.Take
-	c.n.Take = func(to string, e *schema.Envelope) {
-		if to != d.node.at {
-			take(to, e)
-		} else if r := e.GetLookReturn(); r != nil {
-			d.node.view.Step(c.w.Now, e.From, r)
-		}
-	}
-	var tick func()
-	tick = func() {
-		for _, s := range d.node.view.Tick(c.w.Now, func() voterview.Report { return voterview.Report{} }) {
-			c.n.Send(d.node.at, s)
-		}
-		c.w.After(10_000, tick)
-	}
-	tick()
+	d.node = c.attachLearner("10.0.9.9:7441")
 	k.run(1_000_000)
 	if d.node.view.LeaseUntil() < c.w.Now {
 		t.Fatalf("seed %d: the node has no lease", seed)
--- /dev/null
+++ b/coordinator/learners_test.go
@@ -0,0 +1,193 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"stoneford/ports"
+	"stoneford/routingtable"
+	"stoneford/schema"
+	"stoneford/voterview"
+)
+
+// troubleSeeds is how many seeds run of the schedules with several troubles.
+const troubleSeeds = 8
+
+// learner is a process that learns what the voters agreed and does not vote, as a
+// pool node does.
+type learner struct {
+	at   string
+	view *voterview.View
+}
+
+// attachLearner starts a learner on a cluster's network.
+func (c *cluster) attachLearner(at string) *learner {
+	l := &learner{at: at}
+	take := c.n.Take
+	c.n.Take = func(to string, e *schema.Envelope) {
+		if to != l.at {
+			take(to, e)
+		} else if r := e.GetLookReturn(); r != nil {
+			l.view.Step(c.w.Now, e.From, r)
+		}
+	}
+	l.restart(c)
+	var tick func()
+	tick = func() {
+		for _, s := range l.view.Tick(c.w.Now, func() voterview.Report { return voterview.Report{Table: l.revision()} }) {
+			c.n.Send(l.at, s)
+		}
+		c.w.After(10_000, tick)
+	}
+	tick()
+	return l
+}
+
+// restart has the learner forget everything.
+func (l *learner) restart(c *cluster) {
+	l.view = voterview.New(l.at, c.order[:3], "z", "node", "pool", c.w.R.Uint64())
+}
+
+// revision is the register's revision of the routing table that the learner knows.
+func (l *learner) revision() uint64 {
+	known, _ := l.view.Agreed(voterview.TableKey)
+	return known.Revision
+}
+
+// leased reports whether the learner holds a lease.
+func (l *learner) leased(now int64) bool { return now < l.view.LeaseUntil() }
+
+// cutOff cuts a process off from others in both directions, or mends that.
+func (c *cluster) cutOff(a string, broken bool, others ...string) {
+	for _, o := range others {
+		c.n.Cut(a, o, broken)
+		c.n.Cut(o, a, broken)
+	}
+}
+
+// formedCluster is a cluster of so many control processes that bear the loss of two,
+// with the first routing table taken.
+func formedCluster(t *testing.T, seed uint64, processes int) (*cluster, *callers) {
+	t.Helper()
+	c := newCluster(t, seed, processes, 3, 2)
+	k := newCallers(c)
+	for _, a := range c.order {
+		c.start(a)
+	}
+	k.run(8_000_000)
+	if c.formed() != 5 {
+		t.Fatalf("seed %d: %d voters of 5 formed", seed, c.formed())
+	}
+	if o := k.take(tableOrder(0, 1, "first"), c.order...); o != ports.Agreed {
+		t.Fatalf("seed %d: the first order ended as %d", seed, o)
+	}
+	k.run(1_000_000)
+	return c, k
+}
+
+// TestALearnerLearnsWhatItMissed: a revision is accepted by three voters of five
+// while the other two and a learner are cut off, and one of the three is lost before
+// the cut ends. A majority is there and has agreed: the learner has to learn it.
+func TestALearnerLearnsWhatItMissed(t *testing.T) {
+	for seed := range uint64(6) {
+		c, k := formedCluster(t, seed, 5)
+		l := c.attachLearner("10.0.9.9:7441")
+		k.run(1_000_000)
+		if l.revision() == 0 || !l.leased(c.w.Now) {
+			t.Fatalf("seed %d: the learner did not begin", seed)
+		}
+		accepting, away := c.order[:3], c.order[3:]
+		for _, a := range away {
+			c.cutOff(a, true, accepting...)
+			c.cutOff(l.at, true, accepting...)
+		}
+		if o := k.take(tableOrder(1, 2, "second"), accepting[0]); o != ports.Agreed {
+			t.Fatalf("seed %d: the second order ended as %d", seed, o)
+		}
+		// Those that were away hear of it before the cut is over for the learner.
+		for _, a := range away {
+			c.cutOff(a, false, accepting...)
+		}
+		k.run(300_000)
+		c.kill(accepting[2], false)
+		c.cutOff(l.at, false, accepting...)
+		k.run(5_000_000)
+		if l.revision() != 2 || !l.leased(c.w.Now) {
+			t.Errorf("seed %d: the learner knows revision %d, holds a lease: %t; revision 2 was agreed 5 s before", seed, l.revision(), l.leased(c.w.Now))
+		}
+	}
+}
+
+// TestLearnersLearnUnderTroubles: orders come one after the other while control
+// processes are killed, cut off and lose their disks, two troubles at a time, and
+// learners start anew. Once a majority has been calm for as long as processes are
+// given, each learner knows the newest order that was taken and holds a lease.
+func TestLearnersLearnUnderTroubles(t *testing.T) {
+	const calm = 4_000_000
+	for seed := range uint64(troubleSeeds) {
+		c, k := formedCluster(t, seed, 5+int(seed%2))
+		var learners []*learner
+		for i := range 4 {
+			learners = append(learners, c.attachLearner(fmt.Sprintf("10.0.9.%d:7441", i+1)))
+		}
+		taken := uint64(1)
+		for range 2 {
+			taken = troubled(c, k, learners, taken)
+			k.run(calm)
+			for _, l := range learners {
+				known, _ := l.view.Agreed(voterview.TableKey)
+				if held := c.decoded(known.Data); held.Revision < taken || !l.leased(c.w.Now) {
+					t.Errorf("seed %d: %s works by revision %d after %d ms of calm, holds a lease: %t; %d was taken", seed, l.at, held.Revision, calm/1000, l.leased(c.w.Now), taken)
+				}
+			}
+			for _, a := range c.order {
+				if !c.ms[a].up {
+					c.start(a)
+				}
+			}
+			k.run(calm)
+		}
+	}
+}
+
+// troubled sends orders while two control processes are cut off, loses a third one
+// about when the cut ends, and has learners start anew at any moment. The one that
+// was lost stays dead. It returns the newest revision taken.
+func troubled(c *cluster, k *callers, learners []*learner, taken uint64) uint64 {
+	r := c.w.R
+	hit := slices.Clone(c.order)
+	r.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
+	cut, dies, others := hit[:2], hit[2], hit[2:]
+	began := c.w.Now
+	ends := began + c.w.Between(1_000_000, 2_500_000)
+	for _, a := range cut {
+		c.w.After(c.w.Between(0, 300_000), func() { c.cutOff(a, true, others...) })
+		c.w.After(ends-began, func() { c.cutOff(a, false, others...) })
+	}
+	c.w.After(ends-began+c.w.Between(-200_000, 400_000), func() { c.kill(dies, false) })
+	for _, l := range learners {
+		if r.IntN(2) == 0 {
+			c.w.After(c.w.Between(0, 4_000_000), func() { l.restart(c) })
+		}
+	}
+	for c.w.Now < ends {
+		revision := taken + 1
+		if k.take(tableOrder(taken, revision, "under troubles"), others...) == ports.Agreed {
+			taken = revision
+		}
+		k.run(c.w.Between(1_000, 400_000))
+	}
+	k.run(max(ends+500_000-c.w.Now, 0))
+	return taken
+}
+
+// decoded reads a routing table.
+func (c *cluster) decoded(data []byte) ports.RoutingTable {
+	c.t.Helper()
+	t, err := routingtable.Decode(data)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return t
+}
