Sight: pool nodes log tables, lost contact with each voter's state, unknown names

Now it says which table is in force and how late it was learned (508), that no majority vouches for what it knows, with each voter's revision and ballot (522, 523), and counts refusals of unknown names by whether its lease was over (517). No decision is changed.

--- a/result/result.go
+++ b/result/result.go
@@ -82,6 +82,8 @@
 	VoterBack            Code = 519
 	MoveAdvanced         Code = 520
 	MembershipChosen     Code = 521
+	ContactLost          Code = 522
+	ContactBack          Code = 523
 )
 
 // Row is one code's line in the table.
@@ -157,6 +159,8 @@
 	{VoterBack, 0, "the disk takes what this voter has to keep: it votes again", "nothing"},
 	{MoveAdvanced, 0, "a group's move between sites went on to its next phase", "nothing; docs/moves.md if it stays staged or failed"},
 	{MembershipChosen, 0, "another set of control processes votes from now on", "nothing; `stoneford fleet voters` shows them"},
+	{ContactLost, 0, "no majority of the voters vouches any more for what this process works by; each voter's state is listed", "nothing if it ends within seconds; else look at the voters that are named"},
+	{ContactBack, 0, "a majority of the voters vouches again for what this process works by", "nothing"},
 }
 
 var rows = func() map[Code]Row {
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -24,6 +24,7 @@
 	nodes   int
 	phases  map[string]ports.Phase
 	leaving bool
+	contact contact
 }
 
 // readyUs is how long after its lease a node still calls itself ready: cut off
@@ -80,6 +81,7 @@
 	}
 	if now >= c.view.Due() {
 		fx.Send = c.view.Tick(now, func() voterview.Report { return c.report(now) })
+		c.noteContact(now, &fx)
 	}
 	return fx
 }
@@ -97,6 +99,7 @@
 // learned hands what the view found to the table.
 func (c *Core) learned(now int64, fx *Effects) {
 	ks, dbs := c.view.Take()
+	c.noteBehind(now)
 	var v sessiontable.View
 	some := false
 	for _, k := range ks {
@@ -114,6 +117,7 @@
 		}
 	}
 	if v.Table != nil {
+		c.noteTable(now, fx)
 		c.view.Want() // a move may wait to hear that this node works by it
 	}
 	led := slices.ContainsFunc(ks, func(k string) bool { return strings.HasPrefix(k, voterview.LeaderPrefix) })
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -285,10 +285,16 @@
 	case a.reads() && a.g.sure <= a.from(t.o.MarginUs):
 		why = "no lease"
 	}
+	t.countBounced(a.g.name + ": " + why)
+}
+
+// countBounced counts what this node refused itself, by cause, and says it once a
+// second.
+func (t *Table) countBounced(why string) {
 	if t.held == nil {
 		t.held = map[string]int{}
 	}
-	t.held[a.g.name+": "+why]++
+	t.held[why]++
 	if t.now < t.heldUs+1_000_000 {
 		return
 	}
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -202,7 +202,7 @@
 	case t.table == nil:
 		r.Code, r.Text = ports.Busy, "no routing table yet; retry after 500 ms"
 	case t.routes[e.Host] == nil:
-		r.Code, r.Text = ports.NoDatabase, "no such database"
+		r.Code, r.Text = t.noRoute()
 	}
 	if r.Code != ports.Done {
 		t.emit(Reply{Session: e.Session, Reply: r, Close: true})
@@ -214,6 +214,16 @@
 	t.emit(Reply{Session: e.Session, Reply: r})
 }
 
+// noRoute is the refusal of a name that the routing table does not hold.
+func (t *Table) noRoute() (ports.Code, string) {
+	vouched := "by a table that is vouched for"
+	if t.now >= t.until {
+		vouched = "by a table whose lease is over"
+	}
+	t.countBounced("unknown names, " + vouched)
+	return ports.NoDatabase, "no such database"
+}
+
 func (t *Table) forget(s *session) {
 	s.gone = true
 	t.disarm(&s.rest)
@@ -306,7 +316,8 @@
 	rt := t.routes[s.host]
 	if s.tx == nil {
 		if rt == nil {
-			t.say(s, ports.Reply{Code: ports.NoDatabase, Text: "no such database", State: ports.Idle}, true)
+			code, text := t.noRoute()
+			t.say(s, ports.Reply{Code: code, Text: text, State: ports.Idle}, true)
 			return
 		}
 		if t.stopping {
--- a/voterview/state.go
+++ b/voterview/state.go
@@ -1,8 +1,10 @@
 package voterview
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"stoneford/fleetstate"
 )
@@ -40,3 +42,23 @@
 
 // Run tells this process's run from earlier ones.
 func (v *View) Run() uint64 { return v.run }
+
+// Standing describes for the log what keeps a register from being learned: its
+// revision as known here and, of each voter, how long ago it was heard, whether its
+// word counts, and the revision and ballot that it holds.
+func (v *View) Standing(now int64, key string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s revision %d, newest seen %d, membership %d", key, v.chosen[key].Revision, v.seen[key], v.membership.Number)
+	for _, address := range v.voters {
+		x := v.vs[address]
+		fmt.Fprintf(&b, "; %s", address)
+		if x.heard == 0 {
+			b.WriteString(" never heard")
+			continue
+		}
+		cell := x.cells[key]
+		fmt.Fprintf(&b, " heard %d ms ago, counts %t, revision %d at %d.%d", max(now-x.heard, 0)/1000, v.counts(address, x),
+			cell.GetValue().GetRevision(), cell.GetAccepted().GetMembership(), cell.GetAccepted().GetRound())
+	}
+	return b.String()
+}
