Mend: who doubts asks, decisions are told as facts; no routing by an unvouched table

Change: looks name the registers in doubt; a voter that knows the agreed value says it (schema.Chosen), and one word is enough since it is a fact. Proposers take their outcomes into what their process knows. Nodes refuse unknown names only under a lease, and route only by a table vouched for within ApplyMs; else BUSY with when to come back.

--- a/coordinator/contact.go
+++ b/coordinator/contact.go
@@ -5,7 +5,10 @@
 	"math"
 	"slices"
 
+	"stoneford/invariant"
 	"stoneford/ports"
+	"stoneford/result"
+	"stoneford/voterview"
 )
 
 // Contact with a majority before serving (design 17). Whatever only the newest
@@ -69,6 +72,38 @@
 	}
 }
 
+// contactLostUs is how long this process is without a lease until it says so in its
+// log.
+const contactLostUs = 1_500_000
+
+// noteContact says when no majority has vouched for long for what this process knows,
+// with what is known of each voter, and when that is over.
+func (c *Core) noteContact(now int64) {
+	until := c.view.LeaseUntil()
+	switch {
+	case now < until && c.lost:
+		c.lost = false
+		c.say(result.ContactBack, "%s", c.self)
+	case now >= until+contactLostUs && until > 0 && !c.lost:
+		c.lost = true
+		c.say(result.ContactLost, "the lease was over %d ms ago; %s", (now-until)/1000, c.view.Standing(now, voterview.TableKey))
+	}
+}
+
+// noteViolations says which checks failed for the first time.
+func (c *Core) noteViolations() {
+	for _, checks := range []*invariant.Checks{&c.checks, c.view.Checks()} {
+		for _, v := range checks.Take() {
+			c.say(result.InvariantBroken, "%s: %s", v.Rule, v.Text)
+		}
+	}
+}
+
+// Violations counts the checks that failed in this run, by rule.
+func (c *Core) Violations() map[string]int64 {
+	return invariant.Merge(c.checks.Counts(), c.view.Checks().Counts())
+}
+
 // callsDue is when refuseCalls has something to do next.
 func (c *Core) callsDue() int64 {
 	due := int64(math.MaxInt64)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 
+	"stoneford/invariant"
 	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/records"
@@ -171,6 +172,8 @@
 	ill           bool                    // the disk refuses
 	mend          uint64                  // mark of the snapshot that ends that
 	diskAt        int64                   // when it is tried again, 0 while it is tried
+	checks        invariant.Checks
+	lost          bool // the log was told that no majority vouches for what is known here
 }
 
 // NewCore makes a control process on top of an acceptor that was restored, or is
@@ -251,6 +254,8 @@
 		c.groupsTick(now)
 		c.drain(now)
 	}
+	c.noteContact(now)
+	c.noteViolations()
 	c.setDue(now)
 	if len(c.fx.Log) > 0 {
 		c.mark++
--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -26,6 +26,7 @@
 	words    map[string]*schema.GroupWord
 	tables   map[uint64]tableSeen // of each run
 	behind   []string
+	doubts   []*schema.Held // of the look that is being returned
 }
 
 // tableSeen is the newest routing table that a run of a process said it works
@@ -74,7 +75,9 @@
 		c.group(w.Group).dirty = true
 	}
 	f.returned = now
+	f.doubts = m.Doubts
 	c.send(step.Send{To: from, Env: c.pacedNews(now, from, f, m.Number)})
+	f.doubts = nil
 	f.seq = c.seq // what does not arrive shows in the next look
 }
 
@@ -86,13 +89,26 @@
 	if c.pacing.may(now, heavyTo{to: to, kind: heavyNews}, e, c.seq) {
 		return e
 	}
+	f.doubts = nil
 	return c.news(f, number, false)
 }
 
+// chosen is what this process knows to be agreed of registers that another one
+// doubts.
+func (c *Core) chosen(doubts []*schema.Held) []*schema.Chosen {
+	var out []*schema.Chosen
+	for _, d := range doubts {
+		if known, ok := c.view.Agreed(d.Key); ok && known.Revision > d.Revision {
+			out = append(out, &schema.Chosen{Key: d.Key, Membership: known.Membership, Value: &schema.Value{Revision: known.Revision, Data: known.Data}})
+		}
+	}
+	return out
+}
+
 // news is what changed since a follower's last look.
 func (c *Core) news(f *follower, number uint64, bodies bool) *schema.Envelope {
 	r := &schema.LookReturn{Number: number, Life: c.run, Seq: c.seq, Since: f.seq, Active: c.active,
-		Nodes: uint32(c.nodes()), Bodies: bodies}
+		Nodes: uint32(c.nodes()), Bodies: bodies, Chosen: c.chosen(f.doubts)}
 	if f.seq < c.membershipSeq || number > 0 && f.seq == 0 {
 		// Those who have heard it keep it.
 		r.Zone, r.Disk = c.boot.Zone, c.voter.Life()
--- a/coordinator/operators.go
+++ b/coordinator/operators.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 
+	"stoneford/invariant"
 	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/routingtable"
+	"stoneford/schema"
 	"stoneford/voterview"
 )
 
@@ -13,6 +15,7 @@
 // callers that wait for the outcome: the same order sent again joins it.
 type order struct {
 	change  ports.TableChange
+	known   uint64 // register revision that was known to be agreed when it came
 	callers []uint64
 	until   int64
 }
@@ -28,7 +31,7 @@
 		o.callers = append(o.callers, e.ID)
 		return
 	}
-	o := &order{change: e.Change, callers: []uint64{e.ID}, until: now + changeExpiry}
+	o := &order{change: e.Change, known: c.knownTable(), callers: []uint64{e.ID}, until: now + changeExpiry}
 	c.orders[e.Change.Name] = o
 	c.read(now, voterview.TableKey, func(now int64, read paxos.Outcome) { c.judge(now, o, read) })
 }
@@ -38,6 +41,7 @@
 func (c *Core) judge(now int64, o *order, newest paxos.Outcome) {
 	current, err := routingtable.Decode(newest.Value.GetData())
 	known := newest.Verdict == paxos.Agreed || newest.Value != nil
+	known = known && c.notOlder(newest.Value, o.known)
 	if !known || err != nil || now >= o.until {
 		c.ended(now, o, unavailable)
 		return
@@ -98,9 +102,24 @@
 	if !c.admit(now, e.ID, answerWithin, Fetched{ID: e.ID}) {
 		return
 	}
+	known := c.knownTable()
 	c.read(now, voterview.TableKey, func(now int64, read paxos.Outcome) {
 		t, err := routingtable.Decode(read.Value.GetData())
-		ok := read.Verdict == paxos.Agreed && err == nil && t.Revision > 0
+		ok := read.Verdict == paxos.Agreed && err == nil && t.Revision > 0 && c.notOlder(read.Value, known)
 		c.answer(now, e.ID, Fetched{ID: e.ID, Table: t, OK: ok})
 	})
 }
+
+// knownTable is the register revision of the newest routing table known to be agreed.
+func (c *Core) knownTable() uint64 {
+	known, _ := c.view.Agreed(voterview.TableKey)
+	return known.Revision
+}
+
+// notOlder reports whether a table that a majority brought is at least as new as what
+// was known to be agreed when it was asked.
+func (c *Core) notOlder(brought *schema.Value, known uint64) bool {
+	holds := brought.GetRevision() >= known
+	c.checks.Hold(holds, invariant.OlderHandedOut, "a majority brought revision %d; %d was known to be agreed", brought.GetRevision(), known)
+	return holds
+}
--- a/coordinator/voting.go
+++ b/coordinator/voting.go
@@ -94,6 +94,10 @@
 func (c *Core) proposed(now int64, fx paxos.ProposerEffects) {
 	c.send(fx.Send...)
 	for _, o := range fx.Outcomes {
+		if o.Value != nil && o.Change.Key != paxos.MembershipKey {
+			c.view.Learn(now, o.Change.Key, o.Value, c.proposer.Membership().Number)
+			c.learned(now)
+		}
 		if f := c.pending[o.Change.Name]; f != nil {
 			delete(c.pending, o.Change.Name)
 			f(now, o)
--- a/result/result.go
+++ b/result/result.go
@@ -84,6 +84,7 @@
 	MembershipChosen     Code = 521
 	ContactLost          Code = 522
 	ContactBack          Code = 523
+	InvariantBroken      Code = 524
 )
 
 // Row is one code's line in the table.
@@ -161,6 +162,7 @@
 	{MembershipChosen, 0, "another set of control processes votes from now on", "nothing; `stoneford fleet voters` shows them"},
 	{ContactLost, 0, "no majority of the voters vouches any more for what this process works by; each voter's state is listed", "nothing if it ends within seconds; else look at the voters that are named"},
 	{ContactBack, 0, "a majority of the voters vouches again for what this process works by", "nothing"},
+	{InvariantBroken, 0, "something that has to hold at every moment does not; it is counted in the state, and said once a rule", "report it with the logs: it is a fault of the program"},
 }
 
 var rows = func() map[Code]Row {
--- a/sessionpool/contact.go
+++ b/sessionpool/contact.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"stoneford/invariant"
 	"stoneford/result"
 	"stoneford/sessiontable"
 	"stoneford/voterview"
@@ -50,6 +51,20 @@
 	}
 }
 
+// noteViolations says which checks failed for the first time.
+func (c *Core) noteViolations(fx *Effects) {
+	for _, checks := range []*invariant.Checks{&c.checks, c.view.Checks(), c.Table.Checks()} {
+		for _, v := range checks.Take() {
+			c.log(fx, result.InvariantBroken, "%s: %s", v.Rule, v.Text)
+		}
+	}
+}
+
+// Violations counts the checks that failed in this run, by rule.
+func (c *Core) Violations() map[string]int64 {
+	return invariant.Merge(c.checks.Counts(), c.view.Checks().Counts(), c.Table.Checks().Counts())
+}
+
 func (c *Core) log(fx *Effects, code result.Code, format string, a ...any) {
 	fx.Do = append(fx.Do, sessiontable.Say{Code: code, Text: fmt.Sprintf(format, a...)})
 }
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"stoneford/invariant"
 	"stoneford/ports"
 	"stoneford/routingtable"
 	"stoneford/schema"
@@ -25,6 +26,7 @@
 	phases  map[string]ports.Phase
 	leaving bool
 	contact contact
+	checks  invariant.Checks
 }
 
 // readyUs is how long after its lease a node still calls itself ready: cut off
@@ -35,6 +37,17 @@
 // that leaves: it may have heard of it later than whoever acknowledged it.
 const drainMargin = 800_000
 
+// routeMargin is taken off the time that a change has to be in force everywhere.
+const routeMargin = 100_000
+
+// routeFor is how long after its lease a node may route by its table: what the
+// lease vouches for is as old as the look that brought it, and a change that was
+// acknowledged after that look binds a while later. This clock may run slow by a
+// tenth.
+func routeFor(applyUs int64) int64 {
+	return max(applyUs*10/11-voterview.LeaseUs-routeMargin, 0)
+}
+
 // Effects of one step.
 type Effects struct {
 	Send []step.Send
@@ -49,6 +62,7 @@
 		o.DrainUs = cmp.Or(o.DrainUs, d-min(d/4, drainMargin))
 	}
 	o.ReadyUs = cmp.Or(o.ReadyUs, readyUs)
+	o.RouteUs = cmp.Or(o.RouteUs, routeFor(b.Bounds.ApplyUs))
 	return &Core{Table: sessiontable.New(seed, b.Zone, o), view: voterview.New(b.PoolNode(), b.SeedVoters(), b.Zone, b.Name, "pool", run)}
 }
 
@@ -82,6 +96,7 @@
 	if now >= c.view.Due() {
 		fx.Send = c.view.Tick(now, func() voterview.Report { return c.report(now) })
 		c.noteContact(now, &fx)
+		c.noteViolations(&fx)
 	}
 	return fx
 }
@@ -112,6 +127,7 @@
 			if err != nil {
 				continue // what voters agreed on they have read themselves
 			}
+			c.checks.Hold(t.Revision >= c.table.Revision, invariant.TableWentBack, "from the operators' revision %d to %d", c.table.Revision, t.Revision)
 			c.rev, c.table = a.Revision, t
 			v.Table, some = &c.table, true
 		}
--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"stoneford/freshness"
@@ -220,6 +221,9 @@
 	}
 	in.slots = float64(max(2, n))
 	in.leavesUs = t.now
+	if at, ok := t.leaving[i.ID]; ok && i.Leaving {
+		in.leavesUs = at // it was taken for gone in the meantime
+	}
 	t.ins[i.ID] = in
 	j, _ := slices.BinarySearchFunc(g.ins, i.ID, func(x *instance, id string) int { return cmp.Compare(x.ID, id) })
 	g.ins = slices.Insert(g.ins, j, in)
@@ -229,11 +233,19 @@
 	return in
 }
 
+// forgetLeaving is how long it is remembered since when an instance leaves that was
+// taken out.
+const forgetLeaving = 120_000_000
+
 // gone takes an instance out: its connections are closed, and what ran on them
 // ends as lost.
 func (t *Table) gone(in *instance) {
 	in.out = true
 	delete(t.ins, in.ID)
+	if in.Leaving {
+		maps.DeleteFunc(t.leaving, func(_ string, at int64) bool { return t.now-at > forgetLeaving })
+		t.leaving[in.ID] = in.leavesUs
+	}
 	in.g.ins = slices.DeleteFunc(in.g.ins, func(x *instance) bool { return x == in })
 	in.g.q.Drop(in.ID)
 	if in.g.view.Primary == in.ID && in.g.since == 0 {
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -203,6 +203,8 @@
 		r.Code, r.Text = ports.Busy, "no routing table yet; retry after 500 ms"
 	case t.routes[e.Host] == nil:
 		r.Code, r.Text = t.noRoute()
+	case !t.mayRoute():
+		r.Code, r.Text = t.noTable()
 	}
 	if r.Code != ports.Done {
 		t.emit(Reply{Session: e.Session, Reply: r, Close: true})
@@ -214,16 +216,6 @@
 	t.emit(Reply{Session: e.Session, Reply: r})
 }
 
-// noRoute is the refusal of a name that the routing table does not hold.
-func (t *Table) noRoute() (ports.Code, string) {
-	vouched := "by a table that is vouched for"
-	if t.now >= t.until {
-		vouched = "by a table whose lease is over"
-	}
-	t.countBounced("unknown names, " + vouched)
-	return ports.NoDatabase, "no such database"
-}
-
 func (t *Table) forget(s *session) {
 	s.gone = true
 	t.disarm(&s.rest)
@@ -324,6 +316,14 @@
 			t.say(s, ports.Reply{Code: ports.Busy, Text: "this node stops; another takes the session at once", State: ports.Idle}, true)
 			return
 		}
+		if routes(st.Kind) {
+			if !t.mayRoute() {
+				code, text := t.noTable()
+				t.local(s, code, text)
+				return
+			}
+			t.routed()
+		}
 	} else {
 		rt = s.tx.route
 	}
--- a/sessiontable/table.go
+++ b/sessiontable/table.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"stoneford/freshness"
+	"stoneford/invariant"
 	"stoneford/ports"
 )
 
@@ -35,6 +36,7 @@
 	PrimaryUs    int64 // what a read that a follower could take counts at the primary
 	ForgetUs     int64 // a run time not fed for so long counts no more if it was long
 	ReadyUs      int64 // the node calls itself ready so long after its lease ran out
+	RouteUs      int64 // statements are routed by the table so long after its lease ran out
 	RestUs       int64 // a transaction may rest so much longer than its limit
 	NotedUs      int64 // a primary that said it is none is left alone so long, or until the next view
 	Line         int   // most statements that wait for one database
@@ -67,6 +69,7 @@
 	def(&o.CrossUs, 2_000)
 	def(&o.PrimaryUs, 10_000)
 	def(&o.ReadyUs, 3*o.LeaseUs)
+	def(&o.RouteUs, 1_000_000)
 	def(&o.ForgetUs, 5_000_000)
 	def(&o.RestUs, 200_000)
 	def(&o.NotedUs, 2_000_000)
@@ -117,11 +120,14 @@
 	groups map[string]*group
 	gs     []*group // by name
 	ins    map[string]*instance
-	sess   map[uint64]*session
-	conns  map[uint64]*conn
-	shapes map[shapeKey]*shape
-	names  uint64 // prepared names given out
-	nextID uint64 // of connections
+	// leaving is since when instances leave that were taken out: one that comes back
+	// may have missed a few beats, and its time goes on.
+	leaving map[string]int64
+	sess    map[uint64]*session
+	conns   map[uint64]*conn
+	shapes  map[shapeKey]*shape
+	names   uint64 // prepared names given out
+	nextID  uint64 // of connections
 
 	timers  heap[*timer]
 	dirty   []*instance // whose line is to be gone through
@@ -139,6 +145,8 @@
 	held   map[string]int // refusals since heldUs, by cause
 	heldUs int64
 
+	checks invariant.Checks
+
 	stopping bool
 	stopUs   int64
 	graceUs  int64
@@ -150,7 +158,7 @@
 	o.fill()
 	t := &Table{
 		r: rand.New(rand.NewPCG(seed, 0x7365737374)), zone: zone, o: o, nodes: 1,
-		routes: map[string]*ports.Route{}, groups: map[string]*group{}, ins: map[string]*instance{},
+		routes: map[string]*ports.Route{}, groups: map[string]*group{}, ins: map[string]*instance{}, leaving: map[string]int64{},
 		sess: map[uint64]*session{}, conns: map[uint64]*conn{}, shapes: map[shapeKey]*shape{},
 	}
 	t.timers = heap[*timer]{
--- /dev/null
+++ b/sessiontable/vouched.go
@@ -0,0 +1,57 @@
+package sessiontable
+
+import (
+	"stoneford/invariant"
+	"stoneford/ports"
+)
+
+// A routing table says what is agreed as long as a majority of the voters vouches
+// for it (design 17.4). A node that has not heard from one for long may work by a
+// table that was replaced, and knows that it may: so it decides nothing by it. A
+// name that it does not know may have been added, which one lease without a break
+// rules out; a route that it knows may have been taken out or moved, which may take
+// the time that a change has to be in force everywhere.
+
+// leased reports whether a majority vouches for the routing table at this moment.
+func (t *Table) leased() bool { return t.now < t.until }
+
+// mayRoute reports whether statements may be routed by the routing table.
+func (t *Table) mayRoute() bool { return t.now < t.until+t.o.RouteUs }
+
+// noRoute is the refusal of a name that the routing table does not hold.
+func (t *Table) noRoute() (ports.Code, string) {
+	if !t.leased() {
+		t.countBounced("unknown names, the routing table's lease is over")
+		return unvouched()
+	}
+	t.countBounced("unknown names")
+	t.checks.Hold(t.now < t.until, invariant.RoutedUnvouched, "a name was refused %d ms after the lease", (t.now-t.until)/1000)
+	return ports.NoDatabase, "no such database"
+}
+
+// noTable is the refusal of a statement that cannot be routed now.
+func (t *Table) noTable() (ports.Code, string) {
+	t.countBounced("no majority vouches for the routing table")
+	return unvouched()
+}
+
+func unvouched() (ports.Code, string) {
+	return ports.Busy, "no majority vouches for this node's routing table; retry after 500 ms"
+}
+
+// routed holds that what is routed now is routed by a table that is vouched for.
+func (t *Table) routed() {
+	t.checks.Hold(t.now < t.until+t.o.RouteUs, invariant.RoutedUnvouched, "a statement was routed %d ms after the lease", (t.now-t.until)/1000)
+}
+
+// routes reports whether a statement outside a transaction needs a route now.
+func routes(k ports.Kind) bool {
+	switch k {
+	case ports.Begin, ports.BeginRead, ports.Read, ports.Write, ports.Run:
+		return true
+	}
+	return false
+}
+
+// Checks are the counts of what has to hold of this table.
+func (t *Table) Checks() *invariant.Checks { return &t.checks }
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"stoneford/invariant"
 	"stoneford/paxos"
 	"stoneford/ports"
 	"stoneford/schema"
@@ -39,7 +40,14 @@
 	lookAgain = 150_000 // where the lease is missing
 	urgentGap = 8_000   // least time between two looks asked for
 	keptLooks = 16
-	bodyWait  = 300_000 // a body may come so much later than the word that it was agreed
+	// doubtWait is how long a newer revision may be heard of and not known to be
+	// agreed, or its data be missing, until a voter is asked for what it knows.
+	doubtWait = 150_000
+	// heardLately is how long ago a voter that is asked was heard at the most, if any
+	// was.
+	heardLately = 1_000_000
+	// learnWithin is how long a doubt lasts at the most while a majority is heard.
+	learnWithin = 3_000_000
 	// numberShift keeps the numbers of looks short on the wire.
 	numberShift = 28
 	// contactsAfter is how long a lease may be missing until the contacts are asked
@@ -78,7 +86,7 @@
 type Chosen struct {
 	Revision   uint64
 	Data       []byte
-	membership uint64 // number of the newest one under which it is known to be agreed
+	Membership uint64 // number of the newest one under which it is known to be agreed
 }
 
 // Report is what a process tells the voters with its looks.
@@ -109,9 +117,13 @@
 	next                   int64
 	last                   int64
 	urgent                 bool
-	missing                map[string]int64 // agreed keys without a body, and since when
+	missing                map[string]bool  // agreed keys without a body
+	doubted                map[string]int64 // keys in doubt, and since when
 	now                    int64
 	body                   int // whose bodies are asked for, by place in rank
+	question               question
+	apart                  int64 // when fewer voters than a majority had been heard lately
+	checks                 invariant.Checks
 	// Since the last Take:
 	changed map[string]bool // keys of registers
 	moved   bool            // databases
@@ -125,7 +137,7 @@
 	// an earlier run's look is not taken for a return to one of this run's.
 	first := step.Hash("look", self, strconv.FormatUint(run, 10)) >> numberShift
 	v := &View{self: self, name: name, zone: zone, kind: kind, run: run, first: first, number: first, vs: map[string]*voter{}, chosen: map[string]Chosen{},
-		seen: map[string]uint64{}, insts: map[string]*schema.Record{}, changed: map[string]bool{}, missing: map[string]int64{}}
+		seen: map[string]uint64{}, insts: map[string]*schema.Record{}, changed: map[string]bool{}, missing: map[string]bool{}, doubted: map[string]int64{}, question: question{wait: doubtWait}}
 	v.contacts = slices.Clone(contacts)
 	v.setVoters(contacts)
 	return v
@@ -219,7 +231,7 @@
 // Settled reports whether the newest revision heard of is agreed under the newest
 // membership, though its data may be on its way.
 func (v *View) Settled(k string) bool {
-	return v.missing[k] > 0 || !v.Doubt(k) && v.chosen[k].membership == v.membership.Number
+	return v.missing[k] || !v.Doubt(k) && v.chosen[k].Membership == v.membership.Number
 }
 
 // Heard is when a voter last returned something, 0 for never.
@@ -270,7 +282,8 @@
 		v.next = now + lookAgain
 	}
 	v.number++
-	v.fetch(now)
+	doubts := v.doubts(now)
+	v.checkDoubts(now)
 	rep := r()
 	v.looks = append(v.looks, look{number: v.number, at: now, by: map[string]bool{}})
 	if len(v.looks) > keptLooks {
@@ -283,6 +296,10 @@
 	body := v.bodyFrom()
 	for _, o := range v.order() {
 		x := v.vs[o]
+		asked := doubts
+		if o != body {
+			asked = nil
+		}
 		ws := x.news(rep.Words)
 		if len(ws) > 0 {
 			if x.sent == nil {
@@ -293,7 +310,7 @@
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
 			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws,
-			Table: rep.Table, All: rep.All, Behind: rep.Behind}}}})
+			Table: rep.Table, All: rep.All, Behind: rep.Behind, Doubts: asked}}}})
 	}
 	return append(out, v.askContacts(now)...)
 }
@@ -344,6 +361,9 @@
 		}
 		return cmp.Compare(far(a), far(b))
 	})
+	if heard := slices.DeleteFunc(slices.Clone(os), func(o string) bool { return v.vs[o].heard+heardLately < v.now }); len(heard) > 0 {
+		os = heard
+	}
 	return os[v.body%len(os)]
 }
 
@@ -357,6 +377,10 @@
 	if x == nil || m.Number > 0 && (m.Number <= v.first || m.Number > v.number) {
 		return // not a voter, or not to a look of this run
 	}
+	for _, c := range m.Chosen {
+		v.learn(c.Key, c.Value.GetRevision(), c.Value.GetData(), c.Membership)
+	}
+	defer v.leaseAnew()
 	if m.Life != x.life {
 		// Another run of the voter. Which of two is the later one is told by this
 		// process's own looks, not by the lives: the time of day may step back.
@@ -392,12 +416,18 @@
 	}
 	if m.Number > 0 {
 		v.returned(from, m.Number)
+		v.answered(from, m.Number)
 	}
-	if v.changed[TableKey] {
-		// What did not count before does so now.
-		for _, l := range v.looks {
-			v.leased(l)
-		}
+}
+
+// leaseAnew goes through the looks once more after another routing table was
+// learned: returns that did not count before do so now.
+func (v *View) leaseAnew() {
+	if !v.changed[TableKey] {
+		return
+	}
+	for _, l := range v.looks {
+		v.leased(l)
 	}
 }
 
@@ -416,6 +446,7 @@
 		v.changed[c.Key] = true
 	}
 	v.settle(c.Key)
+	v.noteDoubt(c.Key)
 }
 
 // settle looks whether a majority of voters accepted one ballot of a key under
@@ -425,7 +456,7 @@
 		c := x.cells[k]
 		known := v.chosen[k]
 		if c == nil || c.Value.GetRevision() < known.Revision || c.Accepted.GetMembership() != v.membership.Number ||
-			c.Value.GetRevision() == known.Revision && known.membership == v.membership.Number {
+			c.Value.GetRevision() == known.Revision && known.Membership == v.membership.Number {
 			continue
 		}
 		count := 0
@@ -442,38 +473,16 @@
 			continue
 		}
 		if c.Value.GetRevision() == known.Revision {
-			known.membership = v.membership.Number
+			known.Membership = v.membership.Number
 			v.chosen[k] = known
 			continue
 		}
 		if data == nil {
-			// Agreed, and the body is most often on its way.
-			if v.missing[k] == 0 {
-				v.missing[k] = v.now
-			}
+			v.missing[k] = true // agreed, and the body is most often on its way
 			continue
 		}
-		delete(v.missing, k)
-		v.chosen[k] = Chosen{Revision: c.Value.GetRevision(), Data: data, membership: v.membership.Number}
-		v.changed[k] = true
-	}
-}
-
-// fetch asks another voter for bodies that did not come. It has the one voter
-// bring everything, and leaves the others alone.
-func (v *View) fetch(now int64) {
-	late := false
-	for _, at := range v.missing {
-		late = late || now-at > bodyWait
-	}
-	if !late {
-		return
-	}
-	for k := range v.missing {
-		v.missing[k] = now
+		v.learn(k, c.Value.GetRevision(), data, v.membership.Number)
 	}
-	v.body++
-	v.vs[v.bodyFrom()].seq = 0
 }
 
 func (v *View) instance(r *schema.Record) {
@@ -542,6 +551,7 @@
 		if held < revision {
 			v.seen[k] = held
 			v.changed[k] = true
+			v.noteDoubt(k)
 		}
 	}
 }
