Six control processes in the fleet's simulation; the core settles as it does in use

The simulation had three control processes only, and took the core for unsettled as long as any of them was down; the grown sites have six, of which one more may be dead for long in a settled core.

TestOverlappingLosses: a storm of changes, two control processes cut off, one or two lost as the cut ends, nodes killed.

--- a/fleetsimulation/controls.go
+++ b/fleetsimulation/controls.go
@@ -27,6 +27,7 @@
 	ids      uint64
 	kept     map[string]int // run of the database that a kept connection is to
 	startUs  int64
+	was      coreState // when the fleet was watched last
 }
 
 type (
--- /dev/null
+++ b/fleetsimulation/core_test.go
@@ -0,0 +1,72 @@
+package fleetsimulation
+
+import (
+	"slices"
+	"testing"
+)
+
+// sixPlan is a fleet with six control processes, of which five vote and two may be
+// lost at once.
+func sixPlan(seed uint64) Plan {
+	p := plan(seed)
+	p.Controls, p.Nodes = 6, 8+int(seed%5)
+	return p
+}
+
+// overlapping has two control processes cut off from the others, a third one lost
+// about when the cut ends, and a part of the nodes killed then. The lost one comes
+// back after a long time, so that the core is settled without it for a while.
+func (f *Fleet) overlapping() {
+	hit := slices.Clone(f.controls)
+	f.R.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
+	var others []string
+	for _, c := range hit[2:] {
+		others = append(others, c.ip)
+	}
+	us := f.Between(800_000, 4_000_000)
+	f.isolate(hit[0].ip, others, 0, us)
+	f.isolate(hit[1].ip, others, f.R.IntN(3), us)
+	for i := range 1 + f.R.IntN(2) {
+		c := hit[2+i]
+		f.After(us+f.Between(-300_000, 500_000), func() { f.killControl(c, f.Chance(0.5)) })
+		f.After(us+f.Between(9_000_000, 12_000_000), func() { f.backControl(c) })
+	}
+	f.After(us+f.Between(-300_000, 300_000), func() {
+		for _, n := range f.nodes {
+			if f.Chance(0.4) {
+				f.killNode(n, f.Chance(0.5))
+				f.later(100_000, 1_500_000, func() { f.backNode(n) })
+			}
+		}
+	})
+}
+
+// TestOverlappingLosses: changes of the routing table come all the time while the
+// troubles of the core overlap, beyond what has to be served through but with no disk
+// lost. Nothing that was acknowledged is lost or shown older, and what is in touch
+// works by it in time.
+func TestOverlappingLosses(t *testing.T) {
+	n := uint64(12)
+	if *seeds > 0 {
+		n = *seeds
+	}
+	changes := 0
+	for seed := *from; seed < *from+n; seed++ {
+		f := NewFleet(sixPlan(seed))
+		f.Run(5_000_000)
+		f.startCallers()
+		f.Run(f.Now + 1_000_000)
+		f.storm(1_000_000, func(int) {})
+		for range 2 {
+			f.overlapping()
+			f.Run(f.Now + 18_000_000)
+		}
+		changes += len(f.operators.acked)
+		f.Heal()
+		f.Run(f.Now + 2_000_000)
+		f.operators.halted = true
+		f.Finish()
+		told(t, f)
+	}
+	t.Logf("%d seeds: %d changes acknowledged", n, changes)
+}
--- a/fleetsimulation/faults.go
+++ b/fleetsimulation/faults.go
@@ -187,7 +187,7 @@
 			}
 			return true
 		}
-		f.isolate(f.controls[f.R.IntN(3)].ip, f.controlHosts(), how, us)
+		f.isolate(f.controls[f.R.IntN(len(f.controls))].ip, f.controlHosts(), how, us)
 		return true
 	}},
 	{"primary cut from followers", func(f *Fleet) bool {
@@ -545,7 +545,7 @@
 			return nil
 		}
 	}
-	return f.controls[f.R.IntN(3)]
+	return f.controls[f.R.IntN(len(f.controls))]
 }
 
 func (f *Fleet) backControl(c *Control) {
--- a/fleetsimulation/fleet.go
+++ b/fleetsimulation/fleet.go
@@ -41,6 +41,7 @@
 type Plan struct {
 	Seed      uint64
 	Nodes     int
+	Controls  int // three, if it is 0
 	Groups    int
 	Callers   int
 	EveryUs   int64
@@ -151,11 +152,14 @@
 			&routeTruth{name: "bounded-" + g.name, host: "bnd" + g.name, group: g.name, kind: ports.Bounded, expiry: 2_000_000, aim: 600_000, patience: 3_000_000, txs: 0.1, staleUs: 1_500_000},
 			&routeTruth{name: "pinned-" + g.name, host: "pin" + g.name, group: g.name, kind: ports.Pinned, expiry: 800_000, aim: 300_000, patience: 2_000_000, writes: 0.2, txs: 0.15, staleUs: 2_500_000})
 	}
-	for i := range 3 {
-		ip := fmt.Sprintf("10.%d.0.1", i+1)
-		c := &Control{zone: zoneNames[i]}
+	for i := range cmp.Or(p.Controls, 3) {
+		ip := fmt.Sprintf("10.%d.%d.1", i%3+1, i/3)
+		c := &Control{zone: zoneNames[i%3]}
 		c.process = process{f: f, name: fmt.Sprintf("control-%d", i+1), ip: ip}
 		c.boot = boot(ip, c.zone, c.name)
+		if p.Controls > 3 {
+			c.boot.QuorumMember, c.boot.LostAtOnce.Machines = true, (p.Controls-1)/2
+		}
 		f.controls = append(f.controls, c)
 		f.ctlAt[c.boot.ControlNode()] = c
 	}
--- a/fleetsimulation/operators.go
+++ b/fleetsimulation/operators.go
@@ -29,6 +29,7 @@
 	names  int
 	known  uint64 // newest revision known in force
 	busy   int
+	halted bool     // they make no more changes
 	idle   []string // names of routes added and not removed
 }
 
--- a/fleetsimulation/storm_test.go
+++ b/fleetsimulation/storm_test.go
@@ -14,7 +14,7 @@
 	n := 0
 	var next func()
 	next = func() {
-		if changes == 0 {
+		if changes == 0 || f.operators.halted {
 			return
 		}
 		changes--
@@ -62,12 +62,12 @@
 		}
 	}},
 	{"a disk lost", func(f *Fleet) {
-		c := f.controls[f.R.IntN(3)]
+		c := f.controls[f.R.IntN(len(f.controls))]
 		f.killControl(c, true)
 		c.disk = nil
 		f.later(300_000, 3_000_000, func() { f.backControl(c) })
 	}},
-	{"a disk lost and power off everywhere", func(f *Fleet) { f.powerLost(f.controls[f.R.IntN(3)]) }},
+	{"a disk lost and power off everywhere", func(f *Fleet) { f.powerLost(f.controls[f.R.IntN(len(f.controls))]) }},
 	{"killed and then it decides", func(f *Fleet) {
 		f.awayThenDecides(func(c *Control) { f.killControl(c, true) }, func(c *Control) { f.backControl(c) })
 	}},
--- a/fleetsimulation/truth.go
+++ b/fleetsimulation/truth.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"stoneford/invariant"
 	"stoneford/ports"
 )
 
@@ -75,10 +76,11 @@
 	coreUs     int64 // when a control process was last not plain
 	fewUs      int64 // when fewer than a majority were last plain
 	Held       []int64
+	broken     map[string]bool // checks of processes that were told
 }
 
 func newTruth(f *Fleet) *Truth {
-	return &Truth{f: f, stmts: map[string]*Statement{}, Codes: map[ports.Code]int{}}
+	return &Truth{f: f, stmts: map[string]*Statement{}, broken: map[string]bool{}, Codes: map[ports.Code]int{}}
 }
 
 func (t *Truth) bad(format string, a ...any) {
@@ -295,9 +297,71 @@
 	}
 }
 
-// settled says whether the control processes are calm.
+// settled says whether nothing happened to the control processes lately and more
+// than half of them run and reach each other. One that is gone for long, or cut off
+// for long, does not unsettle the others.
 func (t *Truth) settled() bool { return t.f.Now-t.coreUs > contactUs }
 
+// coreState is what of a control process unsettles the core when it changes.
+type coreState struct {
+	up, frozen, leaving bool
+	startUs             int64
+	apart               int // how many of the others it does not reach
+}
+
+// coreState is how a control process stands.
+func (t *Truth) coreState(c *Control) coreState {
+	s := coreState{up: c.up, frozen: c.frozen, leaving: c.leaving, startUs: c.startUs}
+	for _, o := range t.f.controls {
+		if o != c && !t.f.net.both(c.ip, o.ip) {
+			s.apart++
+		}
+	}
+	return s
+}
+
+// watchCore notes when something happened to the control processes.
+func (t *Truth) watchCore() {
+	f := t.f
+	together := 0
+	for _, c := range f.controls {
+		now := t.coreState(c)
+		if now != c.was || c.slowUs > 0 || c.syncUs > 0 || f.net.lossy[c.zone] > 0 {
+			t.coreUs = f.Now
+		}
+		c.was = now
+		if c.up && !c.frozen && 2*(len(f.controls)-now.apart) > len(f.controls) {
+			together++
+		}
+	}
+	if 2*together <= len(f.controls) {
+		t.coreUs = f.Now
+	}
+}
+
+// watchChecks takes in what the processes' own checks count.
+func (t *Truth) watchChecks() {
+	for _, c := range t.f.controls {
+		if c.up {
+			t.checked(c.name, c.core.Violations())
+		}
+	}
+	for _, n := range t.f.nodes {
+		if n.up {
+			t.checked(n.name, n.core.Violations())
+		}
+	}
+}
+
+func (t *Truth) checked(name string, counts map[string]int64) {
+	for _, rule := range invariant.Names(counts) {
+		if k := name + " " + rule; !t.broken[k] {
+			t.broken[k] = true
+			t.bad("INVARIANT: %s counts %d of %s", name, counts[rule], rule)
+		}
+	}
+}
+
 // inTouch says whether rules bounded by a time hold for a node.
 func (t *Truth) inTouch(n *Node) bool {
 	return n.up && !n.leaving && t.f.Now-n.troubleAt > contactUs && t.settled()
@@ -313,13 +377,13 @@
 		}
 		if !c.plain() || c.startUs == f.Now {
 			c.troubleAt = f.Now
-			t.coreUs = f.Now
 		}
-		t.coreUs = max(t.coreUs, c.startUs)
 	}
-	if plain < 2 {
+	if 2*plain <= len(f.controls) {
 		t.fewUs = f.Now
 	}
+	t.watchCore()
+	t.watchChecks()
 	for _, n := range f.nodes {
 		if !n.plain() {
 			n.troubleAt = f.Now
--- a/sessiontable/place.go
+++ b/sessiontable/place.go
@@ -285,12 +285,12 @@
 	case a.reads() && a.g.sure <= a.from(t.o.MarginUs):
 		why = "no lease"
 	}
-	t.countBounced(a.g.name + ": " + why)
+	t.countRefusedFor(a.g.name + ": " + why)
 }
 
-// countBounced counts what this node refused itself, by cause, and says it once a
+// countRefusedFor counts what this node refuses itself, by cause, and says it once a
 // second.
-func (t *Table) countBounced(why string) {
+func (t *Table) countRefusedFor(why string) {
 	if t.held == nil {
 		t.held = map[string]int{}
 	}
--- a/sessiontable/sessions.go
+++ b/sessiontable/sessions.go
@@ -294,6 +294,32 @@
 	s.tx.over = true
 }
 
+// routeOf is the route of a session's next statement, or nil if it was refused. One
+// inside a transaction goes by the route that the transaction began with.
+func (t *Table) routeOf(s *session, kind ports.Kind) *ports.Route {
+	if s.tx != nil {
+		return s.tx.route
+	}
+	rt := t.routes[s.host]
+	switch {
+	case rt == nil:
+		code, text := t.noRoute()
+		t.say(s, ports.Reply{Code: code, Text: text, State: ports.Idle}, true)
+		return nil
+	case t.stopping:
+		t.say(s, ports.Reply{Code: ports.Busy, Text: "this node stops; another takes the session at once", State: ports.Idle}, true)
+		return nil
+	case needsRoute(kind) && !t.mayRoute():
+		code, text := t.noTable()
+		t.local(s, code, text)
+		return nil
+	}
+	if needsRoute(kind) {
+		t.routed()
+	}
+	return rt
+}
+
 func (t *Table) asked(e Asked) {
 	s := t.sess[e.Session]
 	if s == nil || s.request != nil {
@@ -305,27 +331,9 @@
 		t.broken(s, st)
 		return
 	}
-	rt := t.routes[s.host]
-	if s.tx == nil {
-		if rt == nil {
-			code, text := t.noRoute()
-			t.say(s, ports.Reply{Code: code, Text: text, State: ports.Idle}, true)
-			return
-		}
-		if t.stopping {
-			t.say(s, ports.Reply{Code: ports.Busy, Text: "this node stops; another takes the session at once", State: ports.Idle}, true)
-			return
-		}
-		if routes(st.Kind) {
-			if !t.mayRoute() {
-				code, text := t.noTable()
-				t.local(s, code, text)
-				return
-			}
-			t.routed()
-		}
-	} else {
-		rt = s.tx.route
+	rt := t.routeOf(s, st.Kind)
+	if rt == nil {
+		return // it was refused
 	}
 	switch st.Kind {
 	case ports.SetValue:
--- a/sessiontable/vouched.go
+++ b/sessiontable/vouched.go
@@ -21,17 +21,17 @@
 // noRoute is the refusal of a name that the routing table does not hold.
 func (t *Table) noRoute() (ports.Code, string) {
 	if !t.leased() {
-		t.countBounced("unknown names, the routing table's lease is over")
+		t.countRefusedFor("unknown names, the routing table's lease is over")
 		return unvouched()
 	}
-	t.countBounced("unknown names")
+	t.countRefusedFor("unknown names")
 	t.checks.Hold(t.now < t.until, invariant.RoutedUnvouched, "a name was refused %d ms after the lease", (t.now-t.until)/1000)
 	return ports.NoDatabase, "no such database"
 }
 
 // noTable is the refusal of a statement that cannot be routed now.
 func (t *Table) noTable() (ports.Code, string) {
-	t.countBounced("no majority vouches for the routing table")
+	t.countRefusedFor("no majority vouches for the routing table")
 	return unvouched()
 }
 
@@ -44,8 +44,9 @@
 	t.checks.Hold(t.now < t.until+t.o.RouteUs, invariant.RoutedUnvouched, "a statement was routed %d ms after the lease", (t.now-t.until)/1000)
 }
 
-// routes reports whether a statement outside a transaction needs a route now.
-func routes(k ports.Kind) bool {
+// needsRoute reports whether a statement outside a transaction begins something by its
+// route, rather than being this node's own to answer.
+func needsRoute(k ports.Kind) bool {
 	switch k {
 	case ports.Begin, ports.BeginRead, ports.Read, ports.Write, ports.Run:
 		return true
