--- a/coordinator/learners_test.go
+++ b/coordinator/learners_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"stoneford/ports"
 	"stoneford/routingtable"
 	"stoneford/schema"
@@ -191,3 +193,112 @@
 	}
 	return t
 }
+
+// slowWay has what a cluster sends to a learner come over a way of so many bytes a
+// second, in order, behind what is on it already.
+func (c *cluster) slowWay(l *learner, bytesPerSecond int64) (sent *int64) {
+	sent = new(int64)
+	free := int64(0)
+	take := c.n.Take
+	c.n.Take = func(to string, e *schema.Envelope) {
+		if to != l.at {
+			take(to, e)
+			return
+		}
+		n := int64(proto.Size(e))
+		*sent += n
+		free = max(free, c.w.Now) + n*1_000_000/bytesPerSecond
+		c.w.After(free-c.w.Now, func() { take(to, e) })
+	}
+	return sent
+}
+
+// largeTable is a first order with so many routes, none of which packs well.
+func (c *cluster) largeTable(routes int) ports.TableChange {
+	order := tableOrder(0, 1, "large")
+	for i := range routes {
+		source := make([]byte, 40)
+		for j := range source {
+			source[j] = byte(c.w.R.Uint32())
+		}
+		name := fmt.Sprint("route-", i)
+		order.Routes = append(order.Routes, ports.Route{Name: name, Host: name, Prefix: "/", Group: "g", ExpiryUs: 800_000, Source: source})
+	}
+	return order
+}
+
+// TestALearnerOnASlowWayStartsInAStorm: a learner behind 2 Mbit/s starts anew while
+// changes come five times a second and the control processes know of 90 databases. It
+// is never further behind than a part of what a change may take, and holds a lease.
+func TestALearnerOnASlowWayStartsInAStorm(t *testing.T) {
+	const (
+		behindMost = 2_000_000
+		startsIn   = 2_500_000
+		rate       = 2_000_000 / 8
+	)
+	c := newCluster(t, 3, 5, 3, 2)
+	k := newCallers(c)
+	for _, a := range c.order {
+		c.start(a)
+	}
+	k.run(8_000_000)
+	if o := k.take(c.largeTable(160), c.order...); o != ports.Agreed {
+		t.Fatalf("the first order ended as %d", o)
+	}
+	for i := range 90 {
+		id := fmt.Sprintf("i-%010x", c.w.R.Uint32())
+		k.announce(c.order[i%5], ports.Instance{ID: id, Group: fmt.Sprint("group-", i/3), Address: fmt.Sprintf("10.1.%d.%d:8080", i, i), Zone: "zone-of-it", Capacity: 4, Call: 1, Primary: i%3 == 0})
+	}
+	k.run(2_000_000)
+	l := c.attachLearner("10.0.9.9:7441")
+	// What a node has its looks leave at once for: commits that wait for a lease.
+	var wants func()
+	wants = func() {
+		if !l.leased(c.w.Now) {
+			l.view.Want()
+		}
+		c.w.After(100_000, wants)
+	}
+	wants()
+	sent := c.slowWay(l, rate)
+	storm := stormSeen{at: map[uint64]int64{1: c.w.Now}}
+	taken, started := uint64(1), c.w.Now
+	for n := range 100 {
+		if n == 20 {
+			l.restart(c)
+			started = c.w.Now
+		}
+		if k.take(tableOrder(taken, taken+1, "storm"), c.order[n%5]) == ports.Agreed {
+			taken++
+			storm.at[taken] = c.w.Now
+		}
+		for range 10 {
+			k.run(20_000)
+			if c.w.Now-started >= startsIn {
+				storm.look(c, l, 20_000)
+			}
+		}
+	}
+	t.Logf("%d changes: at the most %d ms behind, %d ms without a lease, %d KB sent to it", taken, storm.behind/1000, storm.leaseless/1000, *sent>>10)
+	if taken < 80 || storm.behind > behindMost || storm.leaseless > behindMost {
+		t.Errorf("%d changes: %d ms behind, %d ms without a lease", taken, storm.behind/1000, storm.leaseless/1000)
+	}
+}
+
+// stormSeen is how a learner fares in a storm of changes.
+type stormSeen struct {
+	at        map[uint64]int64 // when each revision was acknowledged
+	behind    int64            // for how long, at the most, a newer one was there
+	leaseless int64            // how long it had no lease
+}
+
+// look takes a learner's state down, each so many microseconds.
+func (s *stormSeen) look(c *cluster, l *learner, every int64) {
+	known, _ := l.view.Agreed(voterview.TableKey)
+	if next, ok := s.at[c.decoded(known.Data).Revision+1]; ok {
+		s.behind = max(s.behind, c.w.Now-next)
+	}
+	if !l.leased(c.w.Now) {
+		s.leaseless += every
+	}
+}
--- a/coordinator/process.go
+++ b/coordinator/process.go
@@ -152,7 +152,7 @@
 	work := p.ctx
 	cl.Push(func() error { p.stop(); return nil })
 	p.links = links.New(work, p.boot.ControlNode(), links.Local(p.boot.ControlNode()), p.take)
-	ln, err := net.Listen("tcp", p.boot.ControlNode())
+	ln, err := net.Listen("tcp", p.boot.Listen(p.boot.ControlNode()))
 	if err != nil {
 		return err
 	}
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -21,7 +21,7 @@
 func (c *Core) State(now int64, whole bool) fleetstate.State {
 	s := fleetstate.State{Name: c.boot.Name, Kind: fleetstate.KindControl, Zone: c.boot.Zone, Node: c.self, Run: c.run, Leaving: c.leaving,
 		Ready: c.votes(), Membership: c.view.Membership().Number, Candidates: c.candidateStates(now), Voters: c.view.VoterStates(now), LeaseLeftUs: c.view.LeaseUntil() - now,
-		Registers: c.view.RegisterStates(), Table: fleetstate.Routing(c.table, c.tableRev, whole)}
+		Registers: c.view.RegisterStates(), Table: fleetstate.Routing(c.table, c.tableRev, whole), Violations: c.Violations()}
 	for i := range s.Registers {
 		r := &s.Registers[i]
 		if v := c.voter.Cell(r.Key).GetValue(); v != nil {
--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -39,6 +39,9 @@
 	// Candidates are the processes that asked this voter to vote too.
 	Candidates []Candidate `json:"candidates,omitempty"`
 
+	// Violations counts the checks of what must always hold that failed, by rule.
+	Violations map[string]int64 `json:"violations,omitempty"`
+
 	Control *Control `json:"control,omitempty"`
 	Pool    *Pool    `json:"pool,omitempty"`
 }
--- a/ports/boot.go
+++ b/ports/boot.go
@@ -1,6 +1,7 @@
 package ports
 
 import (
+	"cmp"
 	"net"
 	"strconv"
 )
@@ -24,6 +25,9 @@
 	// processes listen on the first, pool nodes on the one after it. Each tells its
 	// state to operators StateAfter ports further on.
 	PortFirst, PortLast int
+	// ListenNodes is where the process listens for other processes where that is not
+	// the address that these know: something in between passes it on.
+	ListenNodes string
 
 	Seeds        []string // control addresses of some control processes
 	Bootstrap    bool     // the whole system starts for the first time
@@ -76,6 +80,9 @@
 // PoolNode is where a pool node on this machine listens for other processes.
 func (b Boot) PoolNode() string { return b.Node(b.PortFirst + 1) }
 
+// Listen is where a process that others know by an address listens for them.
+func (b Boot) Listen(node string) string { return cmp.Or(b.ListenNodes, node) }
+
 // StateAfter is how far a process's port for operators who ask for its state
 // lies behind the one for other processes.
 const StateAfter = 2
--- a/sessionpool/process.go
+++ b/sessionpool/process.go
@@ -137,7 +137,7 @@
 	failed := make(chan error, 3)
 	serve := func(f func() error) { serving.Go(func() { failed <- f() }) }
 	self := b.PoolNode()
-	ln, err := net.Listen("tcp", self)
+	ln, err := net.Listen("tcp", b.Listen(self))
 	if err != nil {
 		return err
 	}
--- a/sessionpool/state.go
+++ b/sessionpool/state.go
@@ -15,7 +15,7 @@
 	p := c.Table.State(now)
 	return fleetstate.State{Name: b.Name, Kind: fleetstate.KindPool, Zone: b.Zone, Node: b.PoolNode(), Run: c.view.Run(), Leaving: c.leaving, Ready: c.Ready(now),
 		Voters: c.view.VoterStates(now), LeaseLeftUs: c.view.LeaseUntil() - now, Registers: c.view.RegisterStates(),
-		Table: fleetstate.Routing(c.table, c.rev, whole), Pool: &p}
+		Table: fleetstate.Routing(c.table, c.rev, whole), Pool: &p, Violations: c.Violations()}
 }
 
 // State is the node's, now.
