Mend: a voter's news are sent once; looks under way are bounded

Tables came up to 5.4 s after they were acknowledged, over ApplyMs of 4 s; no lease; it ended only when a voter was restarted.

Change: a voter goes on from what it has sent to this run of the asker, unless the asker says that something is missing (Look.again; sequenced, so that older processes are served as before). At most two looks are under way that no majority returned within half a second. Who is not in contact tells no decisions (a voter back from a cut told a table that had long been replaced: TestVoterAwayThenDecides). The check LearnedLate counts what a majority holds.

--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -51,12 +51,10 @@
 	if m.Kind == "control" {
 		c.view.Hear(from)
 	}
-	since := m.Seq
-	if m.Life != c.run {
-		since = 0
-	} else {
-		c.pacing.came(from, since)
+	if m.Life == c.run {
+		c.pacing.came(from, m.Seq)
 	}
+	since := c.since(f, m)
 	for _, ss := range [][]*schema.Sighting{f.sights, m.Sightings} {
 		for _, s := range ss {
 			if r := c.insts.Get(voterview.DatabasePrefix + s.Id); r != nil {
@@ -81,6 +79,21 @@
 	f.seq = c.seq // what does not arrive shows in the next look
 }
 
+// since is the place from which a look is returned. What was sent to the asker's run
+// already is on its way, as far as the asker does not say that something is missing:
+// on a slow way each return would else bring all of it once more, the returns would
+// take longer the more looks there are, and never catch up again.
+func (c *Core) since(f *follower, m *schema.Look) uint64 {
+	switch {
+	case m.Sequenced && !m.Again && f.seq > 0:
+		return f.seq
+	case m.Life == c.run:
+		return m.Seq
+	default:
+		return 0
+	}
+}
+
 // pacedNews is what changed since a follower's last look, without the large data if
 // as much is still on its way. It names every revision in any case: a lease rests on
 // that.
@@ -94,8 +107,12 @@
 }
 
 // chosen is what this process knows to be agreed of registers that another one
-// doubts.
+// doubts. Without contact with a majority it says nothing: what it knows is true, and
+// may be long replaced.
 func (c *Core) chosen(doubts []*schema.Held) []*schema.Chosen {
+	if !c.inContact(c.lastStep) {
+		return nil
+	}
 	var out []*schema.Chosen
 	for _, d := range doubts {
 		if known, ok := c.view.Agreed(d.Key); ok && known.Revision > d.Revision {
--- a/voterview/doubts.go
+++ b/voterview/doubts.go
@@ -105,7 +105,20 @@
 	}
 }
 
-// checkDoubts holds that no doubt lasts for long while a majority is heard.
+// newerHeld reports whether a majority of the voters holds something newer of a
+// register than what is known here, so that it is agreed or about to be.
+func (v *View) newerHeld(key string) bool {
+	held := 0
+	for o, x := range v.vs {
+		if v.counts(o, x) && x.cells[key].GetValue().GetRevision() > v.chosen[key].Revision {
+			held++
+		}
+	}
+	return held >= v.membership.Quorum()
+}
+
+// checkDoubts holds that what a majority holds is learned soon while a majority is
+// heard.
 func (v *View) checkDoubts(now int64) {
 	heard := 0
 	for o, x := range v.vs {
@@ -117,7 +130,7 @@
 		v.apart = now
 	}
 	for key, since := range v.doubted {
-		v.checks.Hold(now-max(since, v.apart) < learnWithin, invariant.LearnedLate, "in doubt for %d ms: %s", (now-since)/1000, v.Standing(now, key))
+		v.checks.Hold(now-max(since, v.apart) < learnWithin || !v.newerHeld(key), invariant.LearnedLate, "in doubt for %d ms: %s", (now-since)/1000, v.Standing(now, key))
 	}
 }
 
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -39,7 +39,12 @@
 	lookEvery = 420_000
 	lookAgain = 150_000 // where the lease is missing
 	urgentGap = 8_000   // least time between two looks asked for
-	keptLooks = 16
+	// mostUnderWay is how many looks are under way at most, and lookLost how long one
+	// counts that no majority returns: where returns take long, more looks would only
+	// make them later.
+	mostUnderWay = 2
+	lookLost     = 500_000
+	keptLooks    = 16
 	// doubtWait is how long a newer revision may be heard of and not known to be
 	// agreed, or its data be missing, until a voter is asked for what it knows.
 	doubtWait = 150_000
@@ -69,6 +74,8 @@
 	zone   string
 	told   map[string]told                // of each group, as this run of it heard
 	sent   map[uint64][]*schema.GroupWord // by look
+	gap    bool                           // something of its news is missing
+	again  uint64                         // look that asked for what is missing, 0 while none is under way
 }
 
 type told struct {
@@ -77,9 +84,10 @@
 }
 
 type look struct {
-	number uint64
-	at     int64
-	by     map[string]bool
+	number   uint64
+	at       int64
+	by       map[string]bool
+	returned bool // by a majority
 }
 
 // Chosen is an agreed value.
@@ -265,10 +273,25 @@
 
 // Due is when Tick has something to do next.
 func (v *View) Due() int64 {
+	due := v.next
 	if v.urgent {
-		return min(v.next, v.last+urgentGap)
+		due = min(due, v.last+urgentGap)
 	}
-	return v.next
+	return max(due, v.room())
+}
+
+// room is when one more look may leave without too many being under way.
+func (v *View) room() int64 {
+	underWay := 0
+	for _, l := range slices.Backward(v.looks) {
+		if l.returned {
+			continue
+		}
+		if underWay++; underWay == mostUnderWay {
+			return l.at + lookLost
+		}
+	}
+	return 0
 }
 
 // Tick sends a look to every voter when one is due.
@@ -310,7 +333,8 @@
 		out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
 			Number: v.number, Life: x.life, Seq: x.seq, Bodies: o == body, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run,
 			Leaving: rep.Leaving, Sightings: rep.Sightings, Groups: ws,
-			Table: rep.Table, All: rep.All, Behind: rep.Behind, Doubts: asked}}}})
+			Table: rep.Table, All: rep.All, Behind: rep.Behind, Doubts: asked,
+			Sequenced: true, Again: x.askAgain(v.number)}}}})
 	}
 	return append(out, v.askContacts(now)...)
 }
@@ -392,16 +416,20 @@
 			return // it returned an earlier look than the known one
 		case m.Since != 0:
 			x.life, x.seq = 0, 0 // something is missing: ask for all
-			v.urgent = true
+			v.missed(x, m.Number)
 			return
 		}
 		// What it said before it says anew.
 		*x = voter{life: m.Life, cells: map[string]*schema.Cell{}}
 		v.forgotten = now
 	} else if m.Since > x.seq {
-		v.urgent = true // something before it was lost: ask for it
+		v.missed(x, m.Number)
 		return
 	}
+	x.gap = false
+	if m.Number >= x.again {
+		x.again = 0
+	}
 	x.number = max(x.number, m.Number)
 	x.heard, x.active, x.nodes = now, m.Active, int(m.Nodes)
 	if m.Membership != nil {
@@ -420,6 +448,25 @@
 	}
 }
 
+// missed notes that something before a voter's news was lost. What is sent until the
+// voter hears of it has the same gap.
+func (v *View) missed(x *voter, number uint64) {
+	if x.again > 0 && number < x.again && slices.ContainsFunc(v.looks, func(l look) bool { return l.number == x.again && v.now-l.at < lookLost }) {
+		return
+	}
+	x.gap, x.again = true, 0
+	v.urgent = true
+}
+
+// askAgain reports whether a look is to ask a voter for what is missing of its news.
+func (x *voter) askAgain(number uint64) bool {
+	if !x.gap {
+		return false
+	}
+	x.gap, x.again = false, number
+	return true
+}
+
 // leaseAnew goes through the looks once more after another routing table was
 // learned: returns that did not count before do so now.
 func (v *View) leaseAnew() {
@@ -503,6 +550,7 @@
 		return
 	}
 	v.looks[i].by[from] = true
+	v.looks[i].returned = 2*len(v.looks[i].by) > len(v.voters)
 	// What an earlier run of the voter was sent, this one did not hear.
 	x := v.vs[from]
 	if x.told == nil {
