--- a/coordinator/news.go
+++ b/coordinator/news.go
@@ -36,8 +36,24 @@
 	revision uint64
 }
 
+// sayVoters returns a look that wants to know who the voters are.
+func (c *Core) sayVoters(to string, m *schema.Look) {
+	r := &schema.LookReturn{Number: m.Number, Life: c.run, Active: c.active, Zone: c.boot.Zone, Disk: c.voter.Life()}
+	if known := c.view.Membership(); known.Known() {
+		r.Membership = known.Message()
+	}
+	c.send(step.Send{To: to, Env: &schema.Envelope{From: c.self, Body: &schema.Envelope_LookReturn{LookReturn: r}}})
+}
+
 // look returns what changed here since the asker's last.
 func (c *Core) look(now int64, from string, m *schema.Look) {
+	if m.VotersOnly {
+		if m.Kind == "control" {
+			c.view.Hear(from)
+		}
+		c.sayVoters(from, m)
+		return
+	}
 	f := c.follow[from]
 	if f == nil || f.run != m.Run {
 		old := f
--- a/coordinator/operators.go
+++ b/coordinator/operators.go
@@ -119,7 +119,9 @@
 // notOlder reports whether a table that a majority brought is at least as new as what
 // was known to be agreed when it was asked.
 func (c *Core) notOlder(brought *schema.Value, known uint64) bool {
-	holds := brought.GetRevision() >= known
-	c.checks.Hold(holds, invariant.OlderHandedOut, "a majority brought revision %d; %d was known to be agreed", brought.GetRevision(), known)
-	return holds
+	if brought.GetRevision() >= known {
+		return true
+	}
+	c.checks.Broken(invariant.OlderHandedOut, "a majority brought revision %d; %d was known to be agreed", brought.GetRevision(), known)
+	return false
 }
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -42,11 +42,9 @@
 	fresh  []Violation
 }
 
-// Hold notes a violation unless the condition holds.
-func (c *Checks) Hold(holds bool, rule Rule, format string, a ...any) {
-	if holds {
-		return
-	}
+// Broken notes a violation. Callers test the condition themselves, so that a check that
+// holds costs nothing more.
+func (c *Checks) Broken(rule Rule, format string, a ...any) {
 	if c.counts == nil {
 		c.counts = map[Rule]int64{}
 	}
--- a/sessionpool/core.go
+++ b/sessionpool/core.go
@@ -111,26 +111,31 @@
 	}
 }
 
+// takeTable takes the newest agreed routing table into force, if it is newer.
+func (c *Core) takeTable() bool {
+	known, ok := c.view.Agreed(voterview.TableKey)
+	if !ok || known.Revision <= c.rev {
+		return false
+	}
+	t, err := routingtable.Decode(known.Data)
+	if err != nil {
+		return false // what voters agreed on they have read themselves
+	}
+	if t.Revision < c.table.Revision {
+		c.checks.Broken(invariant.TableWentBack, "from the operators' revision %d to %d", c.table.Revision, t.Revision)
+	}
+	c.rev, c.table = known.Revision, t
+	return true
+}
+
 // learned hands what the view found to the table.
 func (c *Core) learned(now int64, fx *Effects) {
 	ks, dbs := c.view.Take()
 	c.noteBehind(now)
 	var v sessiontable.View
 	some := false
-	for _, k := range ks {
-		if k == voterview.TableKey {
-			a, ok := c.view.Agreed(k)
-			if !ok || a.Revision <= c.rev {
-				continue
-			}
-			t, err := routingtable.Decode(a.Data)
-			if err != nil {
-				continue // what voters agreed on they have read themselves
-			}
-			c.checks.Hold(t.Revision >= c.table.Revision, invariant.TableWentBack, "from the operators' revision %d to %d", c.table.Revision, t.Revision)
-			c.rev, c.table = a.Revision, t
-			v.Table, some = &c.table, true
-		}
+	if slices.Contains(ks, voterview.TableKey) && c.takeTable() {
+		v.Table, some = &c.table, true
 	}
 	if v.Table != nil {
 		c.noteTable(now, fx)
--- a/sessiontable/vouched.go
+++ b/sessiontable/vouched.go
@@ -25,7 +25,9 @@
 		return unvouched()
 	}
 	t.countRefusedFor("unknown names")
-	t.checks.Hold(t.now < t.until, invariant.RoutedUnvouched, "a name was refused %d ms after the lease", (t.now-t.until)/1000)
+	if t.now >= t.until {
+		t.checks.Broken(invariant.RoutedUnvouched, "a name was refused %d ms after the lease", (t.now-t.until)/1000)
+	}
 	return ports.NoDatabase, "no such database"
 }
 
@@ -41,7 +43,9 @@
 
 // routed holds that what is routed now is routed by a table that is vouched for.
 func (t *Table) routed() {
-	t.checks.Hold(t.now < t.until+t.o.RouteUs, invariant.RoutedUnvouched, "a statement was routed %d ms after the lease", (t.now-t.until)/1000)
+	if t.now >= t.until+t.o.RouteUs {
+		t.checks.Broken(invariant.RoutedUnvouched, "a statement was routed %d ms after the lease", (t.now-t.until)/1000)
+	}
 }
 
 // needsRoute reports whether a statement outside a transaction begins something by its
--- a/voterview/doubts.go
+++ b/voterview/doubts.go
@@ -41,7 +41,9 @@
 	case revision < known.Revision:
 		return
 	case revision == known.Revision:
-		v.checks.Hold(bytes.Equal(known.Data, data), invariant.AgreedChanged, "%s revision %d is known with two contents", key, revision)
+		if !bytes.Equal(known.Data, data) {
+			v.checks.Broken(invariant.AgreedChanged, "%s revision %d is known with two contents", key, revision)
+		}
 		known.Membership = max(known.Membership, membership)
 		v.chosen[key] = known
 		return
@@ -130,7 +132,9 @@
 		v.apart = now
 	}
 	for key, since := range v.doubted {
-		v.checks.Hold(now-max(since, v.apart) < learnWithin || !v.newerHeld(key), invariant.LearnedLate, "in doubt for %d ms: %s", (now-since)/1000, v.Standing(now, key))
+		if now-max(since, v.apart) >= learnWithin && v.newerHeld(key) {
+			v.checks.Broken(invariant.LearnedLate, "in doubt for %d ms: %s", (now-since)/1000, v.Standing(now, key))
+		}
 	}
 }
 
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -51,6 +51,9 @@
 	// heardLately is how long ago a voter that is asked was heard at the most, if any
 	// was.
 	heardLately = 1_000_000
+	// stoodStill is the time between two looks after which this process itself did not
+	// run: what came meanwhile is taken in only now.
+	stoodStill = 1_500_000
 	// learnWithin is how long a doubt lasts at the most while a majority is heard.
 	learnWithin = 3_000_000
 	// numberShift keeps the numbers of looks short on the wire.
@@ -299,6 +302,9 @@
 	if now < v.Due() {
 		return nil
 	}
+	if now-v.last > stoodStill {
+		v.apart = now
+	}
 	v.urgent, v.last, v.now = false, now, now
 	v.next = now + lookEvery
 	if v.leaseUntil < now+lookEvery {
@@ -349,7 +355,7 @@
 	for _, o := range v.contacts {
 		if v.vs[o] == nil && o != v.self {
 			out = append(out, step.Send{To: o, Env: &schema.Envelope{From: v.self, Body: &schema.Envelope_Look{Look: &schema.Look{
-				Number: v.number, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run}}}})
+				Number: v.number, Name: v.name, Zone: v.zone, Kind: v.kind, Run: v.run, VotersOnly: true}}}})
 		}
 	}
 	return out
