The check LearnedLate counts only while a majority returns looks

The check takes the returns of the process's own looks now, and still counts where these are late by seconds.

--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -25,8 +25,8 @@
 	// OlderHandedOut: a control process answers no call by a table older than one
 	// that it knew to be agreed when the call came.
 	OlderHandedOut Rule = "older-handed-out"
-	// LearnedLate: a process that hears a majority of the voters learns what they
-	// agreed within a bounded time.
+	// LearnedLate: a process whose looks a majority of the voters returns learns what
+	// they agreed within a bounded time.
 	LearnedLate Rule = "learned-late"
 )
 
--- a/voterview/doubts.go
+++ b/voterview/doubts.go
@@ -119,17 +119,11 @@
 	return held >= v.membership.Quorum()
 }
 
-// checkDoubts holds that what a majority holds is learned soon while a majority is
-// heard.
+// checkDoubts holds that what a majority holds is learned soon while a majority returns
+// looks, however late.
 func (v *View) checkDoubts(now int64) {
-	heard := 0
-	for o, x := range v.vs {
-		if v.counts(o, x) && now-x.heard < heardLately {
-			heard++
-		}
-	}
-	if !v.membership.Known() || heard < v.membership.Quorum() {
-		v.apart = now
+	if now-v.answeredAt >= heardLately {
+		v.apart = now // nobody can be asked, whoever is heard
 	}
 	for key, since := range v.doubted {
 		if now-max(since, v.apart) >= learnWithin && v.newerHeld(key) {
--- a/voterview/voterview.go
+++ b/voterview/voterview.go
@@ -133,7 +133,8 @@
 	now                    int64
 	body                   int // whose bodies are asked for, by place in rank
 	question               question
-	apart                  int64 // when fewer voters than a majority had been heard lately
+	answeredAt             int64 // when a majority had returned a look last
+	apart                  int64 // when no majority had returned one for a while, or this process stood still
 	checks                 invariant.Checks
 	// Since the last Take:
 	changed map[string]bool // keys of registers
@@ -556,7 +557,10 @@
 		return
 	}
 	v.looks[i].by[from] = true
-	v.looks[i].returned = 2*len(v.looks[i].by) > len(v.voters)
+	if 2*len(v.looks[i].by) > len(v.voters) {
+		v.looks[i].returned = true
+		v.answeredAt = v.now
+	}
 	// What an earlier run of the voter was sent, this one did not hear.
 	x := v.vs[from]
 	if x.told == nil {
