--- a/fleetsimulation/truth.go
+++ b/fleetsimulation/truth.go
@@ -18,6 +18,8 @@
 	recoverUs  = 6_000_000
 	mostTold   = 12
 	goodInCalm = 0.97
+	// checksEvery is after how many looks at the fleet its processes' checks are asked.
+	checksEvery = 5
 )
 
 // Statement is one statement as its caller sent it.
@@ -77,6 +79,7 @@
 	fewUs      int64 // when fewer than a majority were last plain
 	Held       []int64
 	broken     map[string]bool // checks of processes that were told
+	looks      int             // how often the fleet was watched
 }
 
 func newTruth(f *Fleet) *Truth {
@@ -383,7 +386,9 @@
 		t.fewUs = f.Now
 	}
 	t.watchCore()
-	t.watchChecks()
+	if t.looks++; t.looks%checksEvery == 0 {
+		t.watchChecks()
+	}
 	for _, n := range f.nodes {
 		if !n.plain() {
 			n.troubleAt = f.Now
