A node that starts leaves databases alone that leave already

Cause: a node that starts and hears of a database that leaves took that moment for the beginning of its leave, so it went on using it for another 6.2 s.

Change: its time is held to be over, unless it was known and taken for gone in the meantime, when its time goes on. TestAnInstanceFirstHeardOfAsLeaving was red before. Ruled out: a node in touch all the time (it keeps since when).

--- a/sessiontable/group.go
+++ b/sessiontable/group.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// leavesSince is since when an instance leaves that is heard of as leaving and was not
+// known. If it was taken for gone in the meantime, its time goes on. Else it may have
+// left long before this node started, so its time is held to be over.
+func (t *Table) leavesSince(id string) int64 {
+	if at, ok := t.leaving[id]; ok {
+		return at
+	}
+	return t.now - t.o.DrainUs
+}
+
 func (t *Table) newInstance(i ports.Instance) *instance {
 	g := t.group(i.Group)
 	in := &instance{Instance: i, g: g}
@@ -220,10 +230,7 @@
 		n = t.o.GuessedSlots
 	}
 	in.slots = float64(max(2, n))
-	in.leavesUs = t.now
-	if at, ok := t.leaving[i.ID]; ok && i.Leaving {
-		in.leavesUs = at // it was taken for gone in the meantime
-	}
+	in.leavesUs = t.leavesSince(i.ID)
 	t.ins[i.ID] = in
 	j, _ := slices.BinarySearchFunc(g.ins, i.ID, func(x *instance, id string) int { return cmp.Compare(x.ID, id) })
 	g.ins = slices.Insert(g.ins, j, in)
--- a/sessiontable/vouched_test.go
+++ b/sessiontable/vouched_test.go
@@ -109,3 +109,14 @@
 		t.Errorf("%+v is given something new", in)
 	}
 }
+
+// TestAnInstanceFirstHeardOfAsLeaving: a node that starts, and hears of an instance that
+// leaves, does not know since when; its time may be over already.
+func TestAnInstanceFirstHeardOfAsLeaving(t *testing.T) {
+	x := newBench(t, Options{DrainUs: 3_000_000})
+	x.ins = append(x.ins, ports.Instance{ID: "w", Group: "g", Address: "w", Zone: "a", Capacity: 4, Call: 1, Leaving: true})
+	x.look(10_000_000)
+	if in := x.b.ins["w"]; in == nil || !x.b.drained(in) {
+		t.Errorf("%+v is given something new", in)
+	}
+}
