Review case 1: a planned end of a replica loses acknowledged commits

A replica that sends Deregister without stating before that it drains still runs and counts for SyncReplicas, but is dropped from the group's members. When the primary then crashes while the other replica receives nothing, that replica is promoted without the commits that only the ended one had received.

review/standins holds the stand-ins of the review's scripts: databases, platform, operator and clients on loopback addresses. The project's programs run as separate processes.

--- /dev/null
+++ b/review/standins/operator.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// route is a route in the operator's configuration.
+type route struct {
+	Name, Host, PathPrefix, RouteClass string
+	DeadlineMs, TargetMs, Rank         int
+	Backend                            string
+	MaxTries                           int
+	StalenessMs                        int `json:",omitempty"`
+}
+
+// newRoute returns a route for a host with the times of the small deployments.
+func newRoute(host, class, backend string, stalenessMs int) route {
+	return route{Name: "r-" + host, Host: host, PathPrefix: "/", RouteClass: class, DeadlineMs: 800, TargetMs: 300, Rank: 1, Backend: backend, MaxTries: 2, StalenessMs: stalenessMs}
+}
+
+// replaceConfig sends a complete configuration until it gets a final answer, and returns its
+// status.
+func (w *world) replaceConfig(base, revision int, routes []route) int {
+	var backends []map[string]any
+	var names []string
+	for name := range w.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		backends = append(backends, map[string]any{"Name": name, "ProbePath": "/health", "ConnLimit": connectionLimit, "Protocol": "h1", "Tls": false, "SyncReplicas": 1})
+	}
+	return w.change("Config.Replace", base, map[string]any{"Revision": revision, "Routes": routes, "Backends": backends,
+		"Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderWaitMs": 3000, "IdleMs": 15000, "TxnIdleMs": 3000}})
+}
+
+// amendRoute replaces one route and returns the status of the answer.
+func (w *world) amendRoute(base, revision int, changed route) int {
+	return w.change("Config.Amend", base, map[string]any{"Revision": revision, "Upsert": map[string]any{"Routes": []route{changed}}})
+}
+
+// change sends a change of the configuration until it gets a final answer.
+func (w *world) change(path string, base int, content any) int {
+	body, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // every field can be encoded
+	}
+	end := time.Now().Add(startupTimeout)
+	for i := 0; time.Now().Before(end) && w.ctx.Err() == nil; i++ {
+		m := w.machines[i%len(w.machines)]
+		status := w.changeOnce(m, path, base, body)
+		w.record.add("operator sent %s on base %d to %s -> %d: %s", path, base, m.name, status, body)
+		if status == http.StatusOK || status >= 400 && status < 500 && status != 408 && status != 429 {
+			return status
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0
+}
+
+func (w *world) changeOnce(m *machine, path string, base int, body []byte) int {
+	request, err := http.NewRequestWithContext(w.ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/stoneford/%s", m.ip, w.ports.control, path), bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Base-Revision", strconv.Itoa(base))
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
