--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,9 +26,10 @@
 
 // cases maps the names of the cases to the functions that play them.
 var cases = map[string]func(ctx context.Context, w *world, disrupt bool) error{
-	"lost":  playLost,
-	"drain": playDrain,
-	"stale": playStale,
+	"lost":   playLost,
+	"drain":  playDrain,
+	"stale":  playStale,
+	"outage": playOutage,
 }
 
 func main() {
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -69,7 +69,7 @@
 func (w *world) findFreeAddresses() error {
 	for range 50 {
 		block := fmt.Sprintf("127.%d", 20+rand.IntN(200))
-		base := 20000 + 50*rand.IntN(500)
+		base := 20000 + 50*rand.IntN(240) // below the ports of outgoing connections
 		ports := machinePorts{base: base, front: base + 20, ready: base + 21, control: base + 22, provider: base + 23}
 		if portsFree(block, base) {
 			w.block, w.ports = block, ports
