--- a/review/standins/case_lost.go
+++ b/review/standins/case_lost.go
@@ -179,7 +179,7 @@
 		}
 		for ctx.Err() == nil {
 			n++
-			a := s.query(fmt.Sprintf("STORE %s-%d data%d", name, n, n))
+			a := s.query(fmt.Sprintf(x("{store} %s-%d data%d"), name, n, n))
 			if a.succeeded() {
 				acknowledged.add(a.stamp)
 			}
--- a/review/standins/heartbeats.go
+++ b/review/standins/heartbeats.go
@@ -21,7 +21,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// heartbeatBody returns the body of the next heartbeat, with the next CallSeq.
+// heartbeatBody returns the body of the next heartbeat, with the next number.
 func (d *database) heartbeatBody() (body []byte, sequence int64) {
 	s := d.service
 	s.mu.Lock()
@@ -35,7 +35,7 @@
 		phase = "draining"
 	}
 	body, err := json.Marshal(map[string]any{"Backend": s.name, "Address": d.address, "Zone": d.zone, "Revision": "v1", "Capacity": 4,
-		"Phase": phase, "WarmupLeftMs": 0, "DbRole": role, "CallSeq": d.calls})
+		"Phase": phase, x("{warmupleftms}"): 0, x("{dbrole}"): role, x("{callseq}"): d.calls})
 	if err != nil {
 		panic(err) // every field can be encoded
 	}
@@ -60,7 +60,7 @@
 	for i := range 2 * len(machines) {
 		body, sequence := d.heartbeatBody()
 		m := machines[i%len(machines)]
-		if d.post(m, "Instances.Heartbeat", body) {
+		if d.post(m, x("{instances.heartbeat}"), body) {
 			d.service.world.record.add("%s heartbeat %d acknowledged by %s", d.id, sequence, m.name)
 			return true
 		}
@@ -105,7 +105,7 @@
 	machines := d.service.world.machines
 	for i := range 10 * len(machines) {
 		m := machines[i%len(machines)]
-		if d.post(m, "Instances.Deregister", nil) {
+		if d.post(m, x("{instances.deregister}"), nil) {
 			d.service.world.record.add("DEREGISTERED %s, acknowledged by %s", d.id, m.name)
 			return time.Now(), true
 		}
--- a/review/standins/operator.go
+++ b/review/standins/operator.go
@@ -10,18 +10,16 @@
 	"time"
 )
 
-// route is a route in the operator's configuration.
-type route struct {
-	Name, Host, PathPrefix, RouteClass string
-	DeadlineMs, TargetMs, Rank         int
-	Backend                            string
-	MaxTries                           int
-	StalenessMs                        int `json:",omitempty"`
-}
+// route is a route in the operator's configuration, with the platform's names.
+type route map[string]any
 
 // newRoute returns a route for a host with the times of the small deployments.
 func newRoute(host, class, backend string, stalenessMs int) route {
-	return route{Name: "r-" + host, Host: host, PathPrefix: "/", RouteClass: class, DeadlineMs: 800, TargetMs: 300, Rank: 1, Backend: backend, MaxTries: 2, StalenessMs: stalenessMs}
+	r := route{"Name": "r-" + host, "Host": host, x("{pathprefix}"): "/", x("{routeclass}"): class, x("{deadlinems}"): 800, x("{targetms}"): 300, "Rank": 1, "Backend": backend, "MaxTries": 2}
+	if stalenessMs > 0 {
+		r[x("{stalenessms}")] = stalenessMs
+	}
+	return r
 }
 
 // replaceConfig sends a complete configuration until it gets a final answer, and returns its
@@ -34,15 +32,15 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		backends = append(backends, map[string]any{"Name": name, "ProbePath": "/health", "ConnLimit": connectionLimit, "Protocol": "h1", "Tls": false, "SyncReplicas": 1})
+		backends = append(backends, map[string]any{"Name": name, "ProbePath": "/health", "ConnLimit": connectionLimit, "Protocol": "h1", "Tls": false, x("{syncreplicas}"): 1})
 	}
-	return w.change("Config.Replace", base, map[string]any{"Revision": revision, "Routes": routes, "Backends": backends,
-		"Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderWaitMs": 3000, "IdleMs": 15000, "TxnIdleMs": 3000}})
+	return w.change(x("{config.replace}"), base, map[string]any{"Revision": revision, "Routes": routes, "Backends": backends,
+		"Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderWaitMs": 3000, "IdleMs": 15000, x("{txnidlems}"): 3000}})
 }
 
 // amendRoute replaces one route and returns the status of the answer.
 func (w *world) amendRoute(base, revision int, changed route) int {
-	return w.change("Config.Amend", base, map[string]any{"Revision": revision, "Upsert": map[string]any{"Routes": []route{changed}}})
+	return w.change(x("{config.amend}"), base, map[string]any{"Revision": revision, x("{upsert}"): map[string]any{"Routes": []route{changed}}})
 }
 
 // change sends a change of the configuration until it gets a final answer.
@@ -70,7 +68,7 @@
 		return 0
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Base-Revision", strconv.Itoa(base))
+	request.Header.Set(x("{base-revision}"), strconv.Itoa(base))
 	response, err := httpClient.Do(request)
 	if err != nil {
 		return 0
