Session table: keep a session's newest commit in each group, not in one

About two reads of three were stale while the replicas lagged by 1.2 s.

Cause: a session kept one position and the group it belongs to. A commit in a second group overwrote both, so a later read in the first group named only the position that the route's staleness asks for, and a lagging replica has that. Evidence, from the record of the case on the code before: the read was sent with AFTERPOS 1.308 to a replica at 1.362, the session's commit is at 1.411.

Change: sessionCommits keeps the newest commit in each group.

--- a/internal/sessiontable/commits.go
+++ b/internal/sessiontable/commits.go
@@ -39,13 +39,7 @@
 		t.finish(req, ports.Reply{Code: ports.InDoubt, Text: "the primary was being replaced"})
 		return
 	}
-	session := req.session
-	if session.lastCommitGroup != group {
-		session.lastCommit, session.lastCommitGroup = ports.Position{}, group
-	}
-	if session.lastCommit.Before(commit.position) {
-		session.lastCommit = commit.position
-	}
+	req.session.commits.record(group, commit.position)
 	if group.acknowledged.Before(commit.position) {
 		group.acknowledged = commit.position
 	}
--- a/internal/sessiontable/placement.go
+++ b/internal/sessiontable/placement.go
@@ -50,8 +50,8 @@
 		return
 	}
 	req.requiredPosition = ports.Position{}
-	if last := req.lastCommit(); last.Term == req.group.state.Term {
-		req.requiredPosition = last // commits of older terms are contained in this primary's log
+	if own, _ := req.ownCommit(); own.Term == req.group.state.Term {
+		req.requiredPosition = own // commits of older terms are contained in this primary's log
 	}
 	t.enqueue(req, primary)
 }
@@ -74,14 +74,14 @@
 func (t *Table) assignRead(req *request) {
 	group := req.group
 	staleness := req.route.MaxStalenessUs - t.options.StalenessMargin.Microseconds()
-	if !group.commits.PrimaryKnown() || staleness <= 0 {
+	own, ok := req.ownCommit()
+	if !ok || !group.commits.PrimaryKnown() || staleness <= 0 {
 		t.assignPrimary(req)
 		return
 	}
 	var floor int64
-	last := req.lastCommit()
-	if last.Term == group.commitsTerm {
-		floor = last.Number
+	if own.Term == group.commitsTerm {
+		floor = own.Number
 	}
 	formula := freshness.Formula{Measure: freshness.Age, Threshold: staleness}
 	choice, ok := freshness.Choose(&group.commits, formula, floor, req.readArrivedUs(), t.readCandidates(req), t.rand.IntN)
@@ -91,8 +91,8 @@
 		return
 	}
 	req.requiredPosition = ports.Position{Term: group.commitsTerm, Number: choice.Position}
-	if req.requiredPosition.Before(last) {
-		req.requiredPosition = last
+	if req.requiredPosition.Before(own) {
+		req.requiredPosition = own
 	}
 	if choice.WaitUs <= 0 {
 		t.enqueue(req, t.databases[choice.Replica])
--- a/internal/sessiontable/request.go
+++ b/internal/sessiontable/request.go
@@ -67,13 +67,14 @@
 	return r.arrivedUs
 }
 
-// lastCommit returns the position of the session's newest commit in the group, if the
-// route guarantees that a session reads its own writes.
-func (r *request) lastCommit() ports.Position {
-	if r.route.Class != ports.ReadYourWrites || r.session.lastCommitGroup != r.group {
-		return ports.Position{}
+// ownCommit returns the position of the session's newest commit in the group, if the route
+// guarantees that a session reads its own writes. ok is false if that position is not
+// known; only the primary certainly has the commit then.
+func (r *request) ownCommit() (position ports.Position, ok bool) {
+	if r.route.Class != ports.ReadYourWrites {
+		return ports.Position{}, true
 	}
-	return r.session.lastCommit
+	return r.session.commits.in(r.group)
 }
 
 // freshnessBoundUs returns the moment before which every acknowledged commit must be
--- a/internal/sessiontable/sessions.go
+++ b/internal/sessiontable/sessions.go
@@ -7,17 +7,16 @@
 
 // session is one caller's session.
 type session struct {
-	id              uint64
-	host            string
-	values          *sessionValues
-	prepared        map[string]*preparedStatement // by the caller's name
-	state           ports.TransactionState        // as of the last reply
-	tx              *transaction
-	request         *request       // in flight, nil if there is none
-	lastCommit      ports.Position // newest acknowledged commit
-	lastCommitGroup *databaseGroup // of lastCommit
-	closed          bool           // replies are dropped
-	idleTimer       timer          // bounds the idle time inside a transaction
+	id        uint64
+	host      string
+	values    *sessionValues
+	prepared  map[string]*preparedStatement // by the caller's name
+	state     ports.TransactionState        // as of the last reply
+	tx        *transaction
+	request   *request // in flight, nil if there is none
+	commits   sessionCommits
+	closed    bool  // replies are dropped
+	idleTimer timer // bounds the idle time inside a transaction
 }
 
 // transaction is a session's transaction. The node answers the begin itself, and sends it
