Session table: a pinned read after a commit without a position goes to the primary

TestReadYourWritesOfUnknownPosition failed before: the read was sent to a replica with required position 1.20. Passes now, with all tests of the package.

--- a/internal/sessiontable/session_commits.go
+++ b/internal/sessiontable/session_commits.go
@@ -13,7 +13,7 @@
 // groupCommit is the newest commit in a group that was acknowledged to a session.
 type groupCommit struct {
 	group    *databaseGroup
-	position ports.Position
+	position ports.Position // zero if the answer to the commit named none
 }
 
 // sessionCommits holds the newest commit that was acknowledged to a session in each group.
@@ -24,12 +24,13 @@
 	dropped bool          // a commit was dropped from newest
 }
 
-// record records an acknowledged commit. If there are too many groups, it drops the one in
-// which the session has not committed for longest.
+// record records an acknowledged commit. A position that is not known replaces a known one,
+// which the commit follows. If there are too many groups, record drops the one in which the
+// session has not committed for longest.
 func (c *sessionCommits) record(group *databaseGroup, position ports.Position) {
 	commit := groupCommit{group, position}
 	if i := c.index(group); i >= 0 {
-		if position.Before(c.newest[i].position) {
+		if position.Known() && position.Before(c.newest[i].position) {
 			commit.position = c.newest[i].position
 		}
 		c.newest = slices.Delete(c.newest, i, i+1)
@@ -42,10 +43,10 @@
 }
 
 // in returns the position of the session's newest commit in a group, or the zero position
-// if it has none there. ok is false if it may have one at a position that is not kept.
+// if it has none there. ok is false if it may have one at a position that is not known.
 func (c *sessionCommits) in(group *databaseGroup) (position ports.Position, ok bool) {
 	if i := c.index(group); i >= 0 {
-		return c.newest[i].position, true
+		return c.newest[i].position, c.newest[i].position.Known()
 	}
 	return ports.Position{}, !c.dropped
 }
--- a/internal/sessiontable/session_commits_test.go
+++ b/internal/sessiontable/session_commits_test.go
@@ -136,3 +136,23 @@
 		t.Errorf("read after a new commit: sent to %s with required position %v, want position 30, or the primary x", id, required)
 	}
 }
+
+// TestReadYourWritesOfUnknownPosition guards against a stale read after a commit whose
+// answer names no position.
+func TestReadYourWritesOfUnknownPosition(t *testing.T) {
+	harness := newTableHarness(t, Options{})
+	harness.openSession(1, "p")
+	harness.commitTwice(1)
+	harness.sendStatement(1, ports.Write)
+	s := harness.awaitSend()
+	harness.now += 1_000
+	harness.step(AnswerReceived{Conn: s.Conn, Answer: ports.Response{Stamped: true, Body: []byte("done")}})
+	harness.expectReply(ports.Done, ports.Idle)
+	if id, required := harness.readRequirement(1, 25); id != "x" {
+		t.Errorf("read after a commit of unknown position: sent to %s with required position %v, want the primary x", id, required)
+	}
+	harness.commitAt(1, 30)
+	if id, required := harness.readRequirement(1, 30); id != "x" && required.Number < 30 {
+		t.Errorf("read after a commit at position 30: sent to %s with required position %v, want position 30, or the primary x", id, required)
+	}
+}
