Fleet simulation: routes that change under open sessions, checked by its own books

And its oracle kept one newest commit for each session, as the product did, and took a statement's group from the caller and not from the database that ran it.

The oracle keeps every commit of each session, and derives what a read requires from the group in which it runs and from all tables that may be in force for it: a table counts until ApplyMs after a newer one was acknowledged. ROUTE is held against the same tables, so a statement that an outdated table routes breaks it too. The check of writes in the fault-free period counts acknowledged writes by the group that took them. submitOnOldBase leaves out a change that refers to a group which the old table lacks.

--- a/emulator/fleetsimulation/fleet.go
+++ b/emulator/fleetsimulation/fleet.go
@@ -239,8 +239,8 @@
 		return
 	}
 	f.faultFreeSuccesses++
-	if o.caller.route.kind == ports.CurrentRead && !o.readOnly {
-		f.successfulWritesByGroup[o.caller.route.group]++
+	if o.caller.route.kind == ports.CurrentRead && o.wroteTo != nil {
+		f.successfulWritesByGroup[o.wroteTo.name]++
 	}
 }
 
@@ -261,7 +261,7 @@
 		f.oracle.violation("LIVE: %d of %d operations succeeded in the fault-free period; failed: %v", f.faultFreeSuccesses, f.faultFreeOperations, f.failedOperations)
 	}
 	for _, g := range f.groups {
-		if f.Plan.Callers > 0 && f.successfulWritesByGroup[g.name] == 0 {
+		if f.Plan.Callers > 0 && f.operators.routesWritersTo(g) && f.successfulWritesByGroup[g.name] == 0 {
 			f.oracle.violation("LIVE: no write to %s succeeded in the fault-free period", g.name)
 		}
 	}
--- a/emulator/fleetsimulation/moves.go
+++ b/emulator/fleetsimulation/moves.go
@@ -102,18 +102,18 @@
 // database after a move switched sites, it must have been forwarded under the move's
 // table or a newer one.
 func (m *moves) checkForwardedTable(statement *Statement) {
-	if !statement.forwarded || statement.route.kind != ports.CurrentRead && !statement.writes && statement.kind != ports.Commit {
+	if statement.group == nil || !statement.writes && statement.kind != ports.Commit && !m.fleet.oracle.mustBeCurrent(statement) {
 		return
 	}
 	if statement.kind == ports.Commit && !statement.attempt.wrote(statement.transaction) {
 		return // a commit without writes; each read of the transaction is checked by itself
 	}
-	for _, fl := range m.floors[statement.route.group] {
+	for _, fl := range m.floors[statement.group.name] {
 		if fl.primaryUnchanged {
 			continue
 		}
 		if statement.forwardedUs > fl.seenAtUs && statement.forwardedTable < fl.tableRevision {
-			m.fleet.oracle.violation("FLOOR: %q was forwarded under table %d, %d ms after %s required table %d", statement.raw, statement.forwardedTable, (statement.forwardedUs-fl.seenAtUs)/1000, statement.route.group, fl.tableRevision)
+			m.fleet.oracle.violation("FLOOR: %q was forwarded under table %d, %d ms after %s required table %d", statement.raw, statement.forwardedTable, (statement.forwardedUs-fl.seenAtUs)/1000, statement.group.name, fl.tableRevision)
 			return
 		}
 	}
@@ -122,12 +122,12 @@
 // checkCommitTable checks an acknowledged commit: from the term in which a move switched
 // sites, commits must have been forwarded under the move's table or a newer one.
 func (m *moves) checkCommitTable(statement *Statement, e *entry) {
-	for _, fl := range m.floors[statement.route.group] {
+	for _, fl := range m.floors[e.primary.group.name] {
 		if fl.primaryUnchanged {
 			continue
 		}
 		if e.position.Term >= fl.term && statement.forwardedTable < fl.tableRevision {
-			m.fleet.oracle.violation("FLOOR: the commit at position %v of %s was forwarded under table %d, its term requires table %d", e.position, statement.route.group, statement.forwardedTable, fl.tableRevision)
+			m.fleet.oracle.violation("FLOOR: the commit at position %v of %s was forwarded under table %d, its term requires table %d", e.position, e.primary.group.name, statement.forwardedTable, fl.tableRevision)
 			return
 		}
 	}
--- a/emulator/fleetsimulation/operations.go
+++ b/emulator/fleetsimulation/operations.go
@@ -20,6 +20,7 @@
 	counted     bool // counts towards the success ratio
 	finished    bool
 	session     *Session
+	wroteTo     *group // group of its newest acknowledged write, nil if there is none
 }
 
 // plannedStatement is one step of an operation.
@@ -229,13 +230,13 @@
 		statement.preparedStatement = s.prepared[statement.name]
 		statement.writes = p.kind == ports.Execute && p.writes
 	case ports.Begin, ports.BeginRead:
-		tx.required = f.oracle.requiredEntries(c.route, s)
+		tx.beginning = f.oracle.knownCommits(s)
 	}
 	statement.raw = fmt.Sprintf("%s %d %s %s", statement.id, statement.kind, statement.name, statement.text)
 	statement.transaction, statement.values = tx, s.values
 	switch {
 	case tx == nil:
-		statement.required = f.oracle.requiredEntries(c.route, s)
+		statement.acknowledged = f.oracle.knownCommits(s)
 	case tx.first == nil && statement.reachesDatabase():
 		tx.first = statement
 	}
--- a/emulator/fleetsimulation/operators.go
+++ b/emulator/fleetsimulation/operators.go
@@ -24,6 +24,7 @@
 type operators struct {
 	fleet          *Fleet
 	versions       map[uint64]*tableVersion
+	submitted      []*tableVersion // all versions, in order of submission
 	acknowledged   []*tableVersion // in order of acknowledgement
 	lastRevision   uint64          // last revision number that was drawn
 	changeCount    int
@@ -81,6 +82,7 @@
 		return known
 	}
 	o.versions[c.Revision] = v
+	o.submitted = append(o.submitted, v)
 	return v
 }
 
@@ -300,6 +302,10 @@
 	if c.Routes == nil {
 		c.Routes = []ports.Route{{Name: "y", Host: "y", Prefix: "/", Group: f.groups[0].name, TimeoutUs: 800_000, LatencyTargetUs: 300_000}}
 	}
+	if _, problems := routingtable.Apply(o.versions[c.BaseRevision].table, c); len(problems) > 0 {
+		o.pendingChanges--
+		return // it refers to a group that the old table does not have
+	}
 	o.submitWithRetries(c, true, false, func(r ports.Outcome) {
 		if r == ports.Committed {
 			f.oracle.violation("CONFIG: a change of the superseded revision %d was acknowledged", c.BaseRevision)
--- a/emulator/fleetsimulation/oracle_commits.go
+++ b/emulator/fleetsimulation/oracle_commits.go
@@ -30,17 +30,15 @@
 	}
 	o.AcknowledgedWrites++
 	e := statement.commits[len(statement.commits)-1]
-	g := o.fleet.group(statement.route.group)
+	g := e.primary.group
 	e.acknowledgedUs = o.fleet.Now
 	newest := e
 	if n := len(g.acknowledged); n > 0 && g.acknowledged[n-1].newest.position.Compare(e.position) > 0 {
 		newest = g.acknowledged[n-1].newest
 	}
 	g.acknowledged = append(g.acknowledged, acknowledgedEntry{o.fleet.Now, e, newest})
-	session := statement.session
-	if session.minPosition == nil || session.minPosition.position.Before(e.position) {
-		session.minPosition = e
-	}
+	statement.attempt.op.wroteTo = g
+	statement.session.acknowledged = append(statement.session.acknowledged, e)
 	o.fleet.moves.checkCommitTable(statement, e)
 	if e.fromFormerPrimary {
 		o.violation("ONE: the commit at position %v by %s was acknowledged, though made %d ms after the promotion of another primary", e.position, e.primary.id, (e.committedAtUs-g.promotedUs)/1000)
--- a/emulator/fleetsimulation/oracle_statements.go
+++ b/emulator/fleetsimulation/oracle_statements.go
@@ -11,39 +11,15 @@
 // statement returns the statement with an identifier, or nil if no caller sent it.
 func (o *Oracle) statement(id string) *Statement { return o.statements[id] }
 
-// requiredEntries returns the commits that must be visible to a read which the session
-// sends now. For a current read this is the newest acknowledged commit, otherwise the
-// newest one acknowledged before the staleness bound; a read-your-writes session also
-// requires its own newest write.
-func (o *Oracle) requiredEntries(r *callerRoute, s *Session) []*entry {
-	g := o.fleet.group(r.group)
-	var required []*entry
-	i := len(g.acknowledged)
-	if r.kind != ports.CurrentRead {
-		i, _ = slices.BinarySearchFunc(g.acknowledged, o.fleet.Now-r.stalenessUs, func(a acknowledgedEntry, at int64) int {
-			if a.acknowledgedUs < at {
-				return -1
-			}
-			return 1
-		})
-	}
-	if i > 0 {
-		required = append(required, g.acknowledged[i-1].newest)
-	}
-	if r.kind == ports.ReadYourWrites && s.minPosition != nil {
-		required = append(required, s.minPosition)
-	}
-	return required
-}
-
 // statementArrived checks a caller's statement that arrives at a database.
 func (o *Oracle) statementArrived(d *Database, n *Node, op ports.Op) {
 	statement := o.statements[op.Statement.ID]
 	if statement == nil {
 		return // reported when the database runs it
 	}
-	if d.group.name != statement.route.group {
-		o.violation("ROUTE: %s of group %s received %q of route %s", d.id, d.group.name, statement.raw, statement.route.name)
+	statement.group = d.group
+	if len(o.possibleRoutes(statement, d.group)) == 0 {
+		o.violation("ROUTE: %s of group %s received %q of host %s, which no table that may be in force routes there", d.id, d.group.name, statement.raw, statement.route.host)
 	}
 	drainedUs := o.fleet.Now - d.drainAcknowledgedUs
 	if statement.opensDatabaseWork() && d.drainAcknowledgedUs > 0 && drainedUs > drainTimeoutUs && o.inContact(n) && o.controlsAreStable() {
@@ -93,7 +69,7 @@
 	if d.primary {
 		visible = len(d.log)
 	}
-	for _, e := range statement.requiredCommits() {
+	for _, e := range o.requiredEntries(statement, d.group) {
 		i := int(e.position.Number)
 		if i <= visible && d.log[i-1] == e || d.group.reportedLost[e] { // lost commits are reported already
 			continue
--- a/emulator/fleetsimulation/plan.go
+++ b/emulator/fleetsimulation/plan.go
@@ -29,6 +29,7 @@
 	FloorIgnored                     // as GateSkipped, and nodes are not notified which table a leadership requires
 	DrainingReplicasReceive          // replication to draining replicas is not frozen
 	PromotionsForgotten              // the platform acknowledges promotions without carrying them out
+	OwnCommitsForgotten              // reads of a session that committed in several groups require no position
 )
 
 // Plan configures a simulated fleet.
--- a/emulator/fleetsimulation/sessions.go
+++ b/emulator/fleetsimulation/sessions.go
@@ -9,18 +9,18 @@
 
 // Session is the caller's end of a session.
 type Session struct {
-	fleet       *Fleet
-	caller      *caller
-	node        *Node
-	generation  int
-	id          uint64
-	open        bool // neither side has closed it
-	ready       bool // the node has confirmed that it is open
-	state       ports.TransactionState
-	values      map[string]string
-	prepared    map[string]preparedStatement
-	request     *pendingRequest
-	minPosition *entry // newest acknowledged write of the session
+	fleet        *Fleet
+	caller       *caller
+	node         *Node
+	generation   int
+	id           uint64
+	open         bool // neither side has closed it
+	ready        bool // the node has confirmed that it is open
+	state        ports.TransactionState
+	values       map[string]string
+	prepared     map[string]preparedStatement
+	request      *pendingRequest
+	acknowledged []*entry // commits that were acknowledged to it, in all groups
 }
 
 // pendingRequest is the request whose reply a session waits for.
--- a/emulator/fleetsimulation/statement.go
+++ b/emulator/fleetsimulation/statement.go
@@ -18,10 +18,11 @@
 	preparedStatement preparedStatement // statement that Prepare prepares or that the name refers to
 	workUs            int64             // duration at the database
 	sentUs            int64
-	required          []*entry // commits that must be visible to it
+	acknowledged      knownCommits
 
 	results   [][]byte // results returned by each database that ran it
 	commits   []*entry // commits that contain it
+	group     *group   // group of the database that it last reached, nil if it reached none
 	forwarded bool     // a node has sent it to a database
 
 	forwardedUs    int64  // time at which it was last sent to a database
@@ -30,7 +31,7 @@
 
 // transaction is a transaction as its caller defines it.
 type transaction struct {
-	required   []*entry
+	beginning  knownCommits
 	first      *Statement          // first statement after the beginning that a database runs
 	connection *databaseConnection // connection on which its first statement ran
 }
@@ -49,14 +50,18 @@
 	return s.kind == ports.Read || s.kind == ports.Execute && !s.writes
 }
 
-// requiredCommits returns the commits that must be visible to a read.
-func (s *Statement) requiredCommits() []*entry {
+// known returns what had been acknowledged when the statement, or its transaction, began.
+func (s *Statement) known() knownCommits {
 	if s.transaction != nil {
-		return s.transaction.required
+		return s.transaction.beginning
 	}
-	return s.required
+	return s.acknowledged
 }
 
+// boundUs returns the time at which the statement, or its transaction, began. A route that
+// changed later may apply to it, but need not.
+func (s *Statement) boundUs() int64 { return s.known().sentUs }
+
 // acknowledgesWrites reports whether the success of a statement acknowledges writes: it
 // is a single write, or the commit of a transaction that wrote.
 func (s *Statement) acknowledgesWrites() bool {
--- a/emulator/fleetsimulation/streams.go
+++ b/emulator/fleetsimulation/streams.go
@@ -106,6 +106,9 @@
 			statement.forwarded = true
 			statement.forwardedUs, statement.forwardedTable = f.Now, n.core.TableRevision()
 		}
+		if f.Plan.Mutation == OwnCommitsForgotten && f.oracle.committedInSeveralGroups(op) {
+			op.MinPosition = ports.Position{}
+		}
 		op.Statement.Raw = slices.Clone(op.Statement.Raw)
 		if f.Plan.Mutation == TextChanged && !op.Internal && f.Chance(0.01) {
 			op.Statement.Raw = append(op.Statement.Raw, '!')
