Soak: open sessions on routes that move, lagging replicas, and series of signals

No session ever wrote, or saw its route change.

Change: a service has a primary and two replicas, which apply commits up to 2 s late. A session client on each machine keeps its connection until it breaks, writes rising values to a row of its own, alone or in transactions, and checks each read against what was acknowledged to it in the service that answered. It takes the service from the answer, not from the routing table. Operators move the clients' routes to the other service and back. New faults: pool nodes ended by SIGTERM one shortly after the other, a control process or both processes of a machine ended so, and several SIGHUP in a row to all. kill waits for the run that it killed: since SIGTERM restarts processes too, it could wait for good.

TestSessionClientDetectsStaleReads holds the client's check.

--- a/internal/platform/soak/databases.go
+++ b/internal/platform/soak/databases.go
@@ -6,25 +6,32 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 )
 
-// database emulates the only database of a service. It answers each read with the name of its
-// service, so that probe clients can check to which service a host is routed.
+// database emulates one database of a service: its primary or a replica that lags. Each
+// answer to a read or write is stamped with the name of the database.
 type database struct {
 	id      string
-	service string
+	service *service
+	primary bool
 	address string
+	lagUs   atomic.Int64 // time after which a replica applies a commit
+	shown   atomic.Int64 // greatest result of applied
 	calls   atomic.Uint64
-	commits atomic.Uint64
 }
 
-// heartbeatInterval is the time between two heartbeats of a database.
-const heartbeatInterval = time.Second
+const (
+	// heartbeatInterval is the time between two heartbeats of a database.
+	heartbeatInterval = time.Second
+	// maxReplicaLag is the maximum time after which a replica applies a commit. It is below
+	// sessionStaleness, so only a session's own commits keep its reads from such a replica.
+	maxReplicaLag = 2 * time.Second
+)
 
 // sendHeartbeats sends heartbeats to a control process until the context is cancelled. When the
 // process does not accept one, it continues with the next process.
@@ -47,8 +54,8 @@
 
 // sendHeartbeat sends one heartbeat, and reports whether the process accepted it.
 func (d *database) sendHeartbeat(ctx context.Context, client *http.Client, m *machine) bool {
-	b, err := json.Marshal(map[string]any{"Backend": d.service, "Address": d.address, "Zone": "zone-1", "Revision": "v1", "Capacity": 8,
-		"Phase": "ready", "WarmupLeftMs": 0, "DbRole": "leader", "CallSeq": d.calls.Add(1)})
+	b, err := json.Marshal(map[string]any{"Backend": d.service.name, "Address": d.address, "Zone": "zone-1", "Revision": "v1", "Capacity": 8,
+		"Phase": "ready", "WarmupLeftMs": 0, "DbRole": d.role(), "CallSeq": d.calls.Add(1)})
 	if err != nil {
 		return false
 	}
@@ -65,6 +72,41 @@
 	return response.StatusCode/100 == 2
 }
 
+// role returns the database's role as it is announced.
+func (d *database) role() string {
+	if d.primary {
+		return "leader"
+	}
+	return "follower"
+}
+
+// varyLag draws a replica's lag anew from time to time, until the context is cancelled.
+func (d *database) varyLag(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		d.lagUs.Store(random.Int64N(maxReplicaLag.Microseconds()))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(500+random.IntN(3000)) * time.Millisecond):
+		}
+	}
+}
+
+// applied returns the number of the service's commits that the database shows to reads. It
+// never decreases, whatever becomes of the lag.
+func (d *database) applied() int {
+	at := time.Now()
+	if !d.primary {
+		at = at.Add(-time.Duration(d.lagUs.Load()) * time.Microsecond)
+	}
+	n := int64(d.service.commitsBefore(at))
+	for {
+		shown := d.shown.Load()
+		if n <= shown || d.shown.CompareAndSwap(shown, n) {
+			return int(max(n, shown))
+		}
+	}
+}
+
 // serve starts accepting connections until the context is cancelled.
 func (d *database) serve(ctx context.Context) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", d.address)
@@ -90,36 +132,19 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	reader := bufio.NewReader(conn)
 	fields := readFields(reader)
-	if len(fields) < 2 || fields[0] != "CONNECT" || fields[1] != d.service || len(fields) > 3 && fields[3] != d.id {
+	if len(fields) < 2 || fields[0] != "CONNECT" || fields[1] != d.service.name || len(fields) > 3 && fields[3] != d.id {
 		fmt.Fprintf(conn, "STMTERR WRONGNODE %s\r\n", d.id)
 		return
 	}
-	fmt.Fprintf(conn, "READY I 1.%d\r\n", d.commits.Load())
+	c := databaseConnection{database: d, state: stateIdle}
+	fmt.Fprint(conn, c.ready())
 	for {
 		fields := readFields(reader)
 		if len(fields) < 3 || fields[0] != "QUERY" {
 			return
 		}
-		if _, err := conn.Write([]byte(d.reply(fields[2:]))); err != nil {
+		if _, err := conn.Write([]byte(c.reply(fields[2:]))); err != nil {
 			return
 		}
 	}
 }
-
-// reply returns the answer to a statement. The database acts as the primary of term 1.
-func (d *database) reply(fields []string) string {
-	for len(fields) > 2 && fields[0] == "AFTERPOS" {
-		fields = fields[2:]
-	}
-	position := fmt.Sprintf("1.%d", d.commits.Load())
-	ready := "READY I " + position + "\r\n"
-	switch fields[0] {
-	case "FETCH", "EXECUTE":
-		return fmt.Sprintf("ROW %s\r\nCOMPLETE %s.%d\r\n", d.service, d.id, d.calls.Load()) + ready
-	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
-		return fmt.Sprintf("ROW leader 1 %s 0 0 0 1\r\nCOMPLETE -\r\n", position) + ready
-	case "RESET", "SETVAR", "PREPARE", "RELEASE":
-		return "COMPLETE -\r\n" + ready
-	}
-	return "STMTERR MALFORMED " + strings.Join(fields, "_") + "\r\n" + ready
-}
--- a/internal/platform/soak/faults.go
+++ b/internal/platform/soak/faults.go
@@ -49,6 +49,56 @@
 	return inj.fleet.machines[inj.rand.IntN(len(inj.fleet.machines))]
 }
 
+const (
+	// maxTerminated is the number of pool nodes that are ended one shortly after the other.
+	maxTerminated = 3
+	// terminationTimeout limits the time in which a process has to end after SIGTERM. It is
+	// longer than Bounds.GraceS, since the process may be stopped by SIGSTOP meanwhile.
+	terminationTimeout = 20 * time.Second
+)
+
+// terminate sends SIGTERM to a process. The returned function waits for its end, and starts it
+// again.
+func (inj *faultInjector) terminate(p *process) (remove func()) {
+	incarnation, _ := p.currentIncarnation()
+	p.signal(syscall.SIGTERM)
+	return func() {
+		for end := time.Now().Add(terminationTimeout); ; time.Sleep(20 * time.Millisecond) {
+			current, running := p.currentIncarnation()
+			switch {
+			case current != incarnation:
+				return // another fault has killed and restarted it
+			case !running:
+				inj.restart(p)
+				return
+			case time.Now().After(end):
+				inj.history.mu.Lock()
+				inj.history.addViolation("%s still runs %v after SIGTERM", p.programPath, terminationTimeout)
+				inj.history.mu.Unlock()
+				p.kill()
+				inj.restart(p)
+				return
+			}
+		}
+	}
+}
+
+// runAll calls functions concurrently, and waits until all have returned.
+func runAll(functions []func()) {
+	var all sync.WaitGroup
+	for _, function := range functions {
+		all.Go(function)
+	}
+	all.Wait()
+}
+
+// randomMachines returns n different random machines, or all if there are fewer.
+func (inj *faultInjector) randomMachines(n int) []*machine {
+	all := slices.Clone(inj.fleet.machines)
+	inj.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
 // restart starts a killed process, and records a violation if it does not start.
 func (inj *faultInjector) restart(p *process) {
 	if err := p.start(); err != nil {
@@ -123,6 +173,29 @@
 		p.signal(syscall.SIGSTOP)
 		return func() { p.signal(syscall.SIGCONT) }
 	}},
+	{"pool nodes are ended by SIGTERM, one shortly after the other", func(inj *faultInjector) func() {
+		var removals []func()
+		for _, m := range inj.randomMachines(maxTerminated) {
+			removals = append(removals, inj.terminate(m.pool))
+			time.Sleep(inj.randomDuration(0, 300*time.Millisecond))
+		}
+		return func() { runAll(removals) }
+	}},
+	{"a control process is ended by SIGTERM", func(inj *faultInjector) func() { return inj.terminate(inj.randomControl().control) }},
+	{"both processes of a machine are ended by SIGTERM", func(inj *faultInjector) func() {
+		m := inj.randomControl()
+		removals := []func(){inj.terminate(m.pool), inj.terminate(m.control)}
+		return func() { runAll(removals) }
+	}},
+	{"all processes are told several times to read their settings", func(inj *faultInjector) func() {
+		for range 3 {
+			for _, p := range inj.fleet.processes() {
+				p.signal(syscall.SIGHUP)
+			}
+			time.Sleep(inj.randomDuration(0, 200*time.Millisecond))
+		}
+		return func() {}
+	}},
 	{"a machine is partitioned from all others, in one direction or both", func(inj *faultInjector) func() {
 		direction := inj.rand.IntN(3)
 		return inj.partition([]*machine{inj.randomMachine()}, inj.fleet.machines, direction != 1, direction != 2)
--- a/internal/platform/soak/fleet.go
+++ b/internal/platform/soak/fleet.go
@@ -219,11 +219,13 @@
 	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
 }
 
-// kill sends SIGKILL to the program and waits until it has ended.
+// kill sends SIGKILL to the program and waits until it has ended. Another fault may have
+// started it again by then.
 func (p *process) kill() {
+	killed, _ := p.currentIncarnation()
 	p.signal(syscall.SIGKILL)
 	for {
-		if _, up := p.currentIncarnation(); !up {
+		if incarnation, up := p.currentIncarnation(); !up || incarnation != killed {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
--- a/internal/platform/soak/history.go
+++ b/internal/platform/soak/history.go
@@ -29,17 +29,20 @@
 
 // counts holds the totals of a run. The JSON names are those of the report.
 type counts struct {
-	Sent         int `json:"Sent"`
-	Acknowledged int `json:"Acknowledged"`
-	Refused      int `json:"Refused"`
-	Answers      int `json:"Answers"`
-	Served       int `json:"Served"`
-	Unknown      int `json:"Unknown"`
-	Busy         int `json:"Busy"`
-	Unresponsive int `json:"Silent"` // sessions that failed without a reply
-	Reads        int `json:"Reads"`
-	FailedReads  int `json:"Unsure"` // table reads with an error status or an invalid body
-	Faults       int `json:"Troubles"`
+	Sent           int `json:"Sent"`
+	Acknowledged   int `json:"Acknowledged"`
+	Refused        int `json:"Refused"`
+	Answers        int `json:"Answers"`
+	Served         int `json:"Served"`
+	Unknown        int `json:"Unknown"`
+	Busy           int `json:"Busy"`
+	Unresponsive   int `json:"Silent"` // sessions that failed without a reply
+	Reads          int `json:"Reads"`
+	FailedReads    int `json:"Unsure"` // table reads with an error status or an invalid body
+	Faults         int `json:"Troubles"`
+	Writes         int `json:"Writes"`         // acknowledged to sessions
+	SessionReads   int `json:"SessionReads"`   // answered to sessions
+	BrokenSessions int `json:"BrokenSessions"` // sessions that ended while they waited for an answer
 }
 
 func newHistory() *history {
--- a/internal/platform/soak/operators.go
+++ b/internal/platform/soak/operators.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,15 +17,16 @@
 // Requests and replies of operators, in the platform's format.
 type (
 	routeItem struct {
-		Name       string `json:"Name"`
-		Host       string `json:"Host"`
-		PathPrefix string `json:"PathPrefix"`
-		RouteClass string `json:"RouteClass"`
-		DeadlineMs int    `json:"DeadlineMs"`
-		TargetMs   int    `json:"TargetMs"`
-		Rank       int    `json:"Rank"`
-		Backend    string `json:"Backend"`
-		MaxTries   int    `json:"MaxTries"`
+		Name        string `json:"Name"`
+		Host        string `json:"Host"`
+		PathPrefix  string `json:"PathPrefix"`
+		RouteClass  string `json:"RouteClass"`
+		StalenessMs int    `json:"StalenessMs,omitempty"`
+		DeadlineMs  int    `json:"DeadlineMs"`
+		TargetMs    int    `json:"TargetMs"`
+		Rank        int    `json:"Rank"`
+		Backend     string `json:"Backend"`
+		MaxTries    int    `json:"MaxTries"`
 	}
 	backendItem struct {
 		Name         string `json:"Name"`
@@ -65,6 +67,15 @@
 	// readInterval is the time between two reads of the table.
 	readInterval = 100 * time.Millisecond
 	serviceCount = 2
+	// databasesPerService is the number of databases of a service, the first of which is
+	// its primary.
+	databasesPerService = 3
+	// sessionHosts is the number of hosts that session clients use, whose routes guarantee
+	// that a session reads its own writes.
+	sessionHosts = 3
+	// sessionStaleness is how old reads on those routes may be, except that they show the
+	// commits of their own session.
+	sessionStaleness = 2500 * time.Millisecond
 )
 
 // operators emulates the operators. They send changes of the routing table one after the other,
@@ -86,8 +97,27 @@
 // serviceName returns the name of the service with an index.
 func serviceName(i int) string { return fmt.Sprintf("service-%d", i+1) }
 
+// databaseName returns the name of a database of the service with an index.
+func databaseName(service, i int) string { return fmt.Sprintf("%s-%c", serviceName(service), 'a'+i) }
+
+// serviceOf returns the service of the database with a name.
+func serviceOf(database string) string {
+	i := strings.LastIndex(database, "-")
+	return database[:max(i, 0)]
+}
+
+// sessionHost returns the name of the session clients' host with an index.
+func sessionHost(i int) string { return fmt.Sprintf("%s%d", sessionPrefix, i) }
+
+const sessionPrefix = "session-"
+
+func isSessionHost(host string) bool { return strings.HasPrefix(host, sessionPrefix) }
+
 // routeFor returns the route that routes a host to a service.
 func routeFor(host, service string) routeItem {
+	if isSessionHost(host) {
+		return routeItem{Name: "r-" + host, Host: host, PathPrefix: "/", RouteClass: "pinned", StalenessMs: int(sessionStaleness.Milliseconds()), DeadlineMs: 800, TargetMs: 300, Rank: 1, Backend: service, MaxTries: 2}
+	}
 	return routeItem{Name: "r-" + host, Host: host, PathPrefix: "/", RouteClass: "leader", DeadlineMs: 800, TargetMs: 300, Rank: 1, Backend: service, MaxTries: 2}
 }
 
@@ -116,6 +146,11 @@
 		v.serviceByHost[name] = serviceName(i % serviceCount)
 		table.Routes = append(table.Routes, routeFor(name, v.serviceByHost[name]))
 	}
+	for i := range sessionHosts {
+		name := sessionHost(i)
+		v.serviceByHost[name] = serviceName(i % serviceCount)
+		table.Routes = append(table.Routes, routeFor(name, v.serviceByHost[name]))
+	}
 	return newTableRequest("/stoneford/Config.Replace", table, v)
 }
 
@@ -129,20 +164,26 @@
 }
 
 // amendment returns a random change based on a version: it adds a route, changes the service of
-// one, removes one, or is invalid because its service does not exist.
+// one or of all session clients' routes, removes one, or is invalid because its service does not exist.
 func (o *operators) amendment(base *version) tableRequest {
 	v := &version{revision: o.nextRevision(), base: base.revision, serviceByHost: map[string]string{}}
 	var names []string
 	for name, service := range base.serviceByHost {
 		v.serviceByHost[name] = service
-		names = append(names, name)
+		if !isSessionHost(name) {
+			names = append(names, name)
+		}
 	}
 	a := amendItem{Revision: v.revision}
 	upsert := func(name, service string) {
 		v.serviceByHost[name] = service
 		a.Upsert.Routes = append(a.Upsert.Routes, routeFor(name, service))
 	}
-	switch draw := o.rand.IntN(10); {
+	switch draw := o.rand.IntN(16); {
+	case draw >= 10: // the session clients' routes move from service to service and back while sessions are open
+		for i := range sessionHosts {
+			upsert(sessionHost(i), otherService(base.serviceByHost[sessionHost(i)]))
+		}
 	case draw < 4:
 		upsert(fmt.Sprintf("added-%d", v.revision), serviceName(o.rand.IntN(serviceCount)))
 	case draw < 7:
@@ -158,6 +199,16 @@
 	return newTableRequest("/stoneford/Config.Amend", a, v)
 }
 
+// otherService returns the service that follows another one, the first after the last.
+func otherService(name string) string {
+	for i := range serviceCount {
+		if serviceName(i) == name {
+			return serviceName((i + 1) % serviceCount)
+		}
+	}
+	return serviceName(0)
+}
+
 // pickName returns a random name. The choice does not depend on the order of the names, which
 // come from a map.
 func pickName(rand *rand.Rand, names []string) string {
--- a/internal/platform/soak/run.go
+++ b/internal/platform/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sync"
@@ -35,7 +36,6 @@
 	*fleet
 	history        *history
 	operators      *operators
-	databases      []*database
 	reportedChecks map[string]bool // violated checks of processes that are already in the history
 }
 
@@ -87,12 +87,9 @@
 func (s *soakRun) startFleet(ctx context.Context, all *sync.WaitGroup) error {
 	s.operators = newOperators(s.fleet, s.history)
 	for i := range serviceCount {
-		d := &database{id: fmt.Sprintf("db-%d", i+1), service: serviceName(i), address: address(s.machines[0].ip, 8100+i)}
-		s.databases = append(s.databases, d)
-		if err := d.serve(ctx); err != nil {
+		if err := s.startService(ctx, i, all); err != nil {
 			return err
 		}
-		all.Go(func() { d.sendHeartbeats(ctx, s.fleet) })
 	}
 	if err := s.startAll(); err != nil {
 		return err
@@ -110,7 +107,24 @@
 	return s.waitUntil(ctx, "the first table is in force everywhere", s.findOutdated)
 }
 
-// applyLoad runs operators, probe clients and faults for a time, and then removes the faults.
+// startService starts the databases of the service with an index: a primary and replicas that
+// lag.
+func (s *soakRun) startService(ctx context.Context, index int, all *sync.WaitGroup) error {
+	data := newService(serviceName(index))
+	for i := range databasesPerService {
+		n := index*databasesPerService + i
+		d := &database{id: databaseName(index, i), service: data, primary: i == 0, address: address(s.machines[0].ip, 8100+n)}
+		if err := d.serve(ctx); err != nil {
+			return err
+		}
+		all.Go(func() { d.sendHeartbeats(ctx, s.fleet) })
+		random := rand.New(rand.NewPCG(s.options.seed, 0x6c61+uint64(n)))
+		all.Go(func() { d.varyLag(ctx, random) })
+	}
+	return nil
+}
+
+// applyLoad runs operators, probe and session clients and faults for a time, and then removes the faults.
 func (s *soakRun) applyLoad(ctx context.Context, duration time.Duration) {
 	ctx, stop := context.WithTimeout(ctx, duration)
 	defer stop()
@@ -119,6 +133,8 @@
 	for i, m := range s.machines {
 		c := newProbeClient(s.fleet, s.history, m, i)
 		background.Go(func() { c.run(loadCtx) })
+		session := newSessionClient(s.fleet, s.history, m, i)
+		background.Go(func() { session.run(loadCtx) })
 	}
 	background.Go(func() { s.operators.readPeriodically(loadCtx) })
 	changes.Go(func() {
--- a/internal/platform/soak/soak_test.go
+++ b/internal/platform/soak/soak_test.go
@@ -17,8 +17,34 @@
 	for _, v := range r.Violations {
 		t.Errorf("violation: %s", v)
 	}
-	if c := r.Counts; c.Acknowledged == 0 || c.Answers == 0 || c.Reads == 0 || c.Faults == 0 {
-		t.Errorf("no load: got counts %+v, want acknowledged changes, answers, reads and faults", c)
+	if c := r.Counts; c.Acknowledged == 0 || c.Answers == 0 || c.Reads == 0 || c.Faults == 0 || c.Writes == 0 || c.SessionReads == 0 {
+		t.Errorf("no load: got counts %+v, want acknowledged changes, answers, reads, faults, and writes and reads of sessions", c)
+	}
+}
+
+// TestSessionClientDetectsStaleReads checks that a session client reports a read without a
+// commit that was acknowledged to its session in the service that answered, and no other read.
+func TestSessionClientDetectsStaleReads(t *testing.T) {
+	for name, x := range map[string]struct {
+		service, row string
+		stale        bool
+	}{
+		"the newest commit":                       {"service-1", "5", false},
+		"a later write of unknown outcome":        {"service-1", "7", false},
+		"an older commit":                         {"service-1", "4", true},
+		"no commit":                               {"service-1", noValue, true},
+		"an older commit in the earlier service":  {"service-2", "1", true},
+		"the newest commit in the earlier one":    {"service-2", "2", false},
+		"no commit in a service without a commit": {"service-3", noValue, false},
+		"a value that no client writes":           {"service-1", "x", true},
+	} {
+		h := newHistory()
+		c := newSessionClient(&fleet{}, h, &machine{name: "machine"}, 0)
+		c.acknowledged = map[string]int64{"service-2": 2, "service-1": 5}
+		c.checkRead(sessionAnswer{complete: true, service: x.service, row: x.row})
+		if stale := len(h.violations) > 0; stale != x.stale {
+			t.Errorf("%s: read %q in %s: got violations %q, want one: %t", name, x.row, x.service, h.violations, x.stale)
+		}
 	}
 }
 
