Query table: a pinned read waits for the epoch of its session's token

What a caller could see, on the own interface: a session commits in a new epoch at one node, moves with its token to a node that does not know of the change of primary yet, and reads there without its own commit.

Where no replica had the position in time, the read went to the primary of the older epoch, whose answer nothing compared with the token; and a replica of the older epoch may have other, unacknowledged commits at that position.

Change: while the token's epoch is newer than the one in force here, a pinned read is not routed, and is rejected once it has waited as long as its class allows. In the same or a later epoch the primary has every commit that was acknowledged, at its position.

TestPinnedReadAwaitsTokenEpoch failed before in both cases: one read was done by the old primary at position 10, the other by a replica of the old epoch at position 25, both with a token of position 20 in epoch 2. It passes now.

--- a/internal/querytable/route.go
+++ b/internal/querytable/route.go
@@ -34,7 +34,14 @@
 	}
 	minPosition := int64(0)
 	if q.class.Kind == readYourWritesKind {
-		minPosition = t.sessions[q.Session].token.Position
+		token := t.sessions[q.Session].token
+		if token.Epoch > t.desired.Epoch {
+			// The databases of an older epoch need not have the session's commit, whatever
+			// their positions.
+			t.rejectOnWaitTimeout(now, q)
+			return
+		}
+		minPosition = token.Position
 	}
 	candidates := t.candidates(now, q)
 	choice, ok := t.chooseReplica(q.class.formula(q.class.MarginUs), minPosition, now, candidates)
