--- a/internal/querytable/token_test.go
+++ b/internal/querytable/token_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// read sends a read of class "pinned" in a session and returns its reply.
+// read sends a read of the read-your-writes class in a session and returns its reply.
 func (g *epochGroup) read(id uint64, session string) Reply {
 	g.t.Helper()
 	g.replies = nil
@@ -65,9 +65,9 @@
 	return g.replies[0]
 }
 
-// TestPinnedReadAwaitsTokenEpoch guards against a session that moves to a node which does
+// TestReadYourWritesAwaitsTokenEpoch guards against a session that moves to a node which does
 // not know of the newest change of primary yet, and reads there without its own commit.
-func TestPinnedReadAwaitsTokenEpoch(t *testing.T) {
+func TestReadYourWritesAwaitsTokenEpoch(t *testing.T) {
 	for name, applied := range map[string]int64{
 		"the old epoch ends below the commit":              10,
 		"the old epoch has other commits at that position": 25,
