Simulation: sessions that follow their route to other groups and back

On this interface an open session is bound to its group, and its token names one group; a token of another is rejected (110), not read past silently. What was untested is a token that is used again after its session wrote elsewhere.

The checker counts the changes of each session's row by route, independently of tokens.

--- a/emulator/simulation/fleet.go
+++ b/emulator/simulation/fleet.go
@@ -62,6 +62,7 @@
 	sessions        []*session
 	halted          bool // sessions start no new actions
 	crowdCount      int
+	groupChanges    int
 	pendingRequests int               // number of requests without a reply
 	lastTag         map[string]string // tag of the last acknowledged write, by route
 	lastRead        map[string]string // name of the last read that was sent, by route
--- a/emulator/simulation/sessions.go
+++ b/emulator/simulation/sessions.go
@@ -25,8 +25,10 @@
 	ownValue     string // value of the session variable "mark"
 	preparedRow  string // value that its prepared statement must return
 	token        querytable.Token
-	setsNoValues bool  // the session is opened without values
-	endsAtUs     int64 // end of the session, 0 for none
+	otherTokens  map[string]querytable.Token // newest token of each group that the session used before, by group
+	nextGroup    string                      // group to which its route leads from its next action on, "" for no change
+	setsNoValues bool                        // the session is opened without values
+	endsAtUs     int64                       // end of the session, 0 for none
 }
 
 // class returns the name that the session's partner uses for the class of a kind.
@@ -50,6 +52,7 @@
 	if s.fleet.halted || s.endsAtUs > 0 && s.fleet.Now > s.endsAtUs {
 		return
 	}
+	s.followRoute()
 	done := func() { s.fleet.After(s.think(), s.loop) }
 	switch p := s.fleet.Random.Float64(); {
 	case p < 0.36:
--- a/internal/pool/sessions.go
+++ b/internal/pool/sessions.go
@@ -88,7 +88,7 @@
 	case !known:
 		return nil, &reply{Code: result.UnknownRoute, Detail: b.Route, Outcome: result.NoEffect}
 	case b.Token.Group != "" && b.Token.Group != route.Group:
-		return nil, &reply{Code: result.BadToken, Detail: "of " + b.Token.Group, Outcome: result.NoEffect}
+		return nil, &reply{Code: result.BadToken, Detail: "of " + b.Token.Group + "; the route leads to " + route.Group, Outcome: result.NoEffect}
 	}
 	return runner, nil
 }
