--- a/emulator/fleetsimulation/faults.go
+++ b/emulator/fleetsimulation/faults.go
@@ -108,6 +108,17 @@
 // afterRandom calls run after a random time.
 func (f *Fleet) afterRandom(minUs, maxUs int64, run func()) { f.After(f.Between(minUs, maxUs), run) }
 
+// repeatRandomly calls run at a mean interval until a time, the first time after an interval.
+func (f *Fleet) repeatRandomly(untilUs, meanIntervalUs int64, run func()) {
+	f.afterRandom(meanIntervalUs/2, meanIntervalUs*3/2, func() {
+		if f.Now >= untilUs {
+			return
+		}
+		run()
+		f.repeatRandomly(untilUs, meanIntervalUs, run)
+	})
+}
+
 // anyNode draws a node and returns nil if the node drawn has a fault.
 func (f *Fleet) anyNode() *Node {
 	n := f.nodes[f.Random.IntN(len(f.nodes))]
--- a/emulator/fleetsimulation/moves.go
+++ b/emulator/fleetsimulation/moves.go
@@ -135,18 +135,7 @@
 
 // requestRandomMoves requests moves of groups until a time.
 func (m *moves) requestRandomMoves(untilUs, meanIntervalUs int64) {
-	f := m.fleet
-	var next func()
-	next = func() {
-		f.After(f.Between(meanIntervalUs/2, meanIntervalUs*3/2), func() {
-			if f.Now >= untilUs {
-				return
-			}
-			m.requestRandomMove()
-			next()
-		})
-	}
-	next()
+	m.fleet.repeatRandomly(untilUs, meanIntervalUs, m.requestRandomMove)
 }
 
 // requestRandomMove requests a move of a random group to a zone or region, and cancels
--- a/emulator/fleetsimulation/route_changes.go
+++ b/emulator/fleetsimulation/route_changes.go
@@ -18,18 +18,7 @@
 
 // requestRandomly submits random changes until a time.
 func (r *routeChanges) requestRandomly(untilUs, meanIntervalUs int64) {
-	f := r.fleet
-	var next func()
-	next = func() {
-		f.After(f.Between(meanIntervalUs/2, meanIntervalUs*3/2), func() {
-			if f.Now >= untilUs {
-				return
-			}
-			r.submitRandom()
-			next()
-		})
-	}
-	next()
+	r.fleet.repeatRandomly(untilUs, meanIntervalUs, r.submitRandom)
 }
 
 // submitRandom submits a random change of a route of a host with callers, or removes or
