--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../play.sh" departed-replica "$(dirname "$0")"
