--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -53,6 +53,7 @@
 	departed          bool // it announces itself no more
 	draining          bool
 	stamps            int
+	readAt            []time.Time // when each read reached it
 	server            *databaseServer
 	wake              chan struct{} // sends an announcement at once
 }
--- a/review/rig/session.go
+++ b/review/rig/session.go
@@ -313,4 +313,5 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.group.reads[id] = true
+	d.readAt = append(d.readAt, time.Now())
 }
