Review rig: sound replicas, and which control process a deregistration goes to

A replica follows no primary of a lower term, a position of a newer term is lacking, and the cases name the control process that is called.

--- a/review/rig/calls.go
+++ b/review/rig/calls.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -96,6 +97,9 @@
 		}
 		status, data := call(address, names["announce"]+d.id, "", body)
 		if status/100 == 2 {
+			f.group.mu.Lock()
+			d.announcedTo = address
+			f.group.mu.Unlock()
 			var reply map[string]string
 			if json.Unmarshal(data, &reply) == nil && reply[names["target"]] != "" {
 				target = reply[names["target"]]
@@ -112,12 +116,18 @@
 }
 
 // depart deregisters a database that serves on, and reports whether that was acknowledged.
-func (f *fleet) depart(d *database) bool {
+// It calls the control process that took its last announcement, or another one.
+func (f *fleet) depart(d *database, another bool) bool {
 	f.group.mu.Lock()
 	d.departed = true
+	address := d.announcedTo
 	f.group.mu.Unlock()
-	status, _ := f.callAny(names["depart"]+d.id, "", "", 4*time.Second)
-	record.logf("database %s deregisters: status %d; it serves on", d.id, status)
+	if another {
+		i := slices.IndexFunc(f.machines, func(m *machine) bool { return m.ip+":8782" != address })
+		address = f.machines[i].ip + ":8782"
+	}
+	status, _ := call(address, names["depart"]+d.id, "", "")
+	record.logf("database %s deregisters at %s: status %d; it serves on", d.id, address, status)
 	return status/100 == 2
 }
 
--- a/review/rig/departed_in_use.go
+++ b/review/rig/departed_in_use.go
@@ -37,7 +37,7 @@
 		if !waitFor(8*time.Second, func() bool { return f.announced(d)%3 == 0 }) {
 			return notRun
 		}
-		if !f.depart(d) {
+		if !f.depart(d, true) {
 			return notRun
 		}
 		acknowledgedAt = time.Now()
--- a/review/rig/departed_replica.go
+++ b/review/rig/departed_replica.go
@@ -19,7 +19,7 @@
 		return notRun
 	}
 	if disrupt {
-		if !f.depart(departing) {
+		if !f.depart(departing, false) {
 			return notRun
 		}
 		time.Sleep(2 * time.Second)
--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -50,7 +50,8 @@
 	applied           int
 	newerSince        time.Time // when it, as a primary, first reached one of a later term
 	seq               uint64
-	departed          bool // it announces itself no more
+	announcedTo       string // address that took its last announcement
+	departed          bool   // it announces itself no more
 	draining          bool
 	stamps            int
 	readAt            []time.Time // when each read reached it
@@ -95,7 +96,7 @@
 			g.followNewer(d, now)
 			continue
 		}
-		if !d.deaf && d.frozenTerm == 0 {
+		if !d.deaf && d.frozenTerm == 0 && leader.term >= d.term {
 			d.receive(leader, now)
 		}
 		for d.applied < len(d.log) && now.Sub(d.log[d.applied].at) >= applyDelay {
--- a/review/rig/session.go
+++ b/review/rig/session.go
@@ -270,11 +270,10 @@
 }
 
 func (d *database) hasApplied(position string) bool {
-	_, text, _ := strings.Cut(position, ".")
-	number, _ := strconv.Atoi(text)
+	term, number := parsePosition(position)
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
-	return d.applied >= number
+	return d.term >= term && d.applied >= number
 }
 
 // command runs a freeze, an unfreeze or a demotion.
@@ -315,3 +314,10 @@
 	d.group.reads[id] = true
 	d.readAt = append(d.readAt, time.Now())
 }
+
+func parsePosition(position string) (term uint64, number int) {
+	first, second, _ := strings.Cut(position, ".")
+	term, _ = strconv.ParseUint(first, 10, 64)
+	number, _ = strconv.Atoi(second)
+	return term, number
+}
