--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../play.sh" departed-replica "$(dirname "$0")"
+exec sh "$(dirname "$0")/../play.sh" lost-reports "$(dirname "$0")"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../play.sh" departed-in-use "$(dirname "$0")"
+exec sh "$(dirname "$0")/../play.sh" forgotten-drain "$(dirname "$0")"
--- a/review/rig/calls.go
+++ b/review/rig/calls.go
@@ -99,6 +99,9 @@
 		if status/100 == 2 {
 			f.group.mu.Lock()
 			d.announcedTo = address
+			if strings.Contains(body, `"`+names["draining"]+`"`) && d.drainAcknowledgedAt.IsZero() {
+				d.drainAcknowledgedAt = time.Now()
+			}
 			f.group.mu.Unlock()
 			var reply map[string]string
 			if json.Unmarshal(data, &reply) == nil && reply[names["target"]] != "" {
--- a/review/rig/departed_in_use.go
+++ b/review/rig/departed_in_use.go
@@ -46,24 +46,10 @@
 	w.stop()
 	close(stop)
 	readers.Wait()
-	f.group.mu.Lock()
-	defer f.group.mu.Unlock()
-	record.logf("reads at %s: %d", d.id, len(d.readAt))
-	if len(d.readAt) == 0 {
-		return notRun
-	}
-	late := 0
-	for _, at := range d.readAt {
-		if disrupt && at.Sub(acknowledgedAt) > drainTime {
-			late++
-		}
-	}
-	if !disrupt || late == 0 {
+	if !disrupt {
 		return kept
 	}
-	record.logf("%d reads reached %s more than %v after its deregistration was acknowledged, the last one after %v", late, d.id, drainTime,
-		d.readAt[len(d.readAt)-1].Sub(acknowledgedAt).Round(time.Millisecond))
-	return broken
+	return f.checkLateReads(d, acknowledgedAt, acknowledgedAt.Add(drainTime))
 }
 
 // announced returns the number of announcements that a database has sent.
--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -53,10 +53,12 @@
 	announcedTo       string // address that took its last announcement
 	departed          bool   // it announces itself no more
 	draining          bool
-	stamps            int
-	readAt            []time.Time // when each read reached it
-	server            *databaseServer
-	wake              chan struct{} // sends an announcement at once
+	// drainAcknowledgedAt is when its announcement that it drains was acknowledged.
+	drainAcknowledgedAt time.Time
+	stamps              int
+	readAt              []time.Time // when each read reached it
+	server              *databaseServer
+	wake                chan struct{} // sends an announcement at once
 }
 
 func (d *database) running() bool { return d.up && !d.dark }
--- a/review/rig/lost_reports.go
+++ b/review/rig/lost_reports.go
@@ -55,3 +55,24 @@
 		}
 	}
 }
+
+// checkPromoted checks the log of each database that was promoted.
+func (f *fleet) checkPromoted(w *writer) verdict {
+	w.stop()
+	time.Sleep(300 * time.Millisecond)
+	result := kept
+	acknowledged := w.writes()
+	for _, call := range f.provider.received() {
+		for _, d := range f.group.members {
+			if d.id != call.id || !d.isPrimary() {
+				continue
+			}
+			missing := d.lacks(acknowledged)
+			record.logf("%s was promoted; its log lacks %d of %d acknowledged writes", d.id, len(missing), len(acknowledged))
+			if len(missing) > 0 {
+				result = broken
+			}
+		}
+	}
+	return result
+}
